--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+LINT_VERSION := v2.15.0
+TOOLS := $(CURDIR)/.tools/bin
+BIN := $(CURDIR)/bin
+PROGRAMS := bfnode bfctl bfplatform bftarget
+
+.PHONY: build test lint format demo spec measure docs tools
+
+build:
+	@mkdir -p $(BIN)
+	@for p in $(PROGRAMS); do go build -o $(BIN)/$$p ./$$p || exit 1; done
+
+test: build
+	go vet work
+	go test -count=1 work
+
+tools: $(TOOLS)/golangci-lint
+
+$(TOOLS)/golangci-lint:
+	@mkdir -p $(TOOLS)
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+lint: tools
+	@for m in lib $(PROGRAMS); do (cd $$m && $(TOOLS)/golangci-lint run ./...) || exit 1; done
+
+format: tools
+	@for m in lib $(PROGRAMS); do (cd $$m && $(TOOLS)/golangci-lint fmt ./...) || exit 1; done
+
+demo: build
+	@sh demo/run.sh $(BIN)
+
+spec:
+	@sh spec/check.sh
+
+docs:
+	go run ./bfnode docs
--- /dev/null
+++ b/bfctl/main.go
@@ -0,0 +1,4 @@
+// Command bfctl is a program of bilberryflow.
+package main
+
+func main() {}
--- /dev/null
+++ b/bfnode/main.go
@@ -0,0 +1,4 @@
+// Command bfnode is a program of bilberryflow.
+package main
+
+func main() {}
--- /dev/null
+++ b/bfplatform/main.go
@@ -0,0 +1,4 @@
+// Command bfplatform is a program of bilberryflow.
+package main
+
+func main() {}
--- /dev/null
+++ b/bftarget/main.go
@@ -0,0 +1,4 @@
+// Command bftarget is a program of bilberryflow.
+package main
+
+func main() {}
--- /dev/null
+++ b/lib/bfconfig/digest.go
@@ -0,0 +1,68 @@
+package bfconfig
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+)
+
+// Digest identifies the whole content of a version.
+//
+// It is the sum, modulo 2^128, of a 128-bit hash of each object and of the
+// version, so a delta updates it by its own objects alone. It guards against
+// loss and faults, not against forgery.
+type Digest [16]byte
+
+// String is the digest in hexadecimal.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// MarshalText writes the digest in hexadecimal.
+func (d Digest) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// UnmarshalText reads the digest in hexadecimal.
+func (d *Digest) UnmarshalText(text []byte) error {
+	if hex.DecodedLen(len(text)) != len(d) {
+		return fmt.Errorf("digest %q has the wrong length", text)
+	}
+	_, err := hex.Decode(d[:], text)
+	return err
+}
+
+func (d Digest) plus(o Digest) Digest {
+	low := binary.LittleEndian.Uint64(d[:8]) + binary.LittleEndian.Uint64(o[:8])
+	var carry uint64
+	if low < binary.LittleEndian.Uint64(o[:8]) {
+		carry = 1
+	}
+	high := binary.LittleEndian.Uint64(d[8:]) + binary.LittleEndian.Uint64(o[8:]) + carry
+	return digestOf(low, high)
+}
+
+func (d Digest) minus(o Digest) Digest {
+	lowD, lowO := binary.LittleEndian.Uint64(d[:8]), binary.LittleEndian.Uint64(o[:8])
+	var borrow uint64
+	if lowD < lowO {
+		borrow = 1
+	}
+	high := binary.LittleEndian.Uint64(d[8:]) - binary.LittleEndian.Uint64(o[8:]) - borrow
+	return digestOf(lowD-lowO, high)
+}
+
+func digestOf(low, high uint64) Digest {
+	var d Digest
+	binary.LittleEndian.PutUint64(d[:8], low)
+	binary.LittleEndian.PutUint64(d[8:], high)
+	return d
+}
+
+func hashBytes(b []byte) Digest {
+	sum := sha256.Sum256(b)
+	return Digest(sum[:16])
+}
+
+func hashVersion(v Version) Digest {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], uint64(v))
+	return hashBytes(b[:])
+}
--- /dev/null
+++ b/lib/bflog/events.go
@@ -0,0 +1,49 @@
+package bflog
+
+import "log/slog"
+
+// Events of a process's life.
+var (
+	ProcessStarted  = declare(1001, slog.LevelInfo, "process started", "Nothing.")
+	ProcessStopping = declare(1002, slog.LevelInfo, "graceful stop began", "Nothing; work in flight is finished first.")
+	ProcessStopped  = declare(1003, slog.LevelInfo, "process stopped", "Nothing.")
+	ProcessFailed   = declare(1004, slog.LevelError, "process failed", "Read the error; the process exits with code 1.")
+)
+
+// Events of configuration.
+var (
+	VersionAdopted    = declare(2001, slog.LevelInfo, "version in force", "Nothing.")
+	VersionRefused    = declare(2002, slog.LevelError, "version refused whole", "The older version stays in force; undo the version named, or update this node.")
+	VersionCommitted  = declare(2003, slog.LevelInfo, "version committed", "Nothing.")
+	CommitUnknown     = declare(2004, slog.LevelWarn, "outcome of a commit unknown", "Ask again with the change ID, or confirm again: it is safe.")
+	TableUnavailable  = declare(2005, slog.LevelWarn, "table service does not answer", "Requests go on by the configuration held; changes are refused until it answers.")
+	TableAvailable    = declare(2006, slog.LevelInfo, "table service answers again", "Nothing.")
+	SnapshotUnusable  = declare(2007, slog.LevelWarn, "snapshot unusable", "The one before is taken; look into the object store.")
+	DigestMismatch    = declare(2008, slog.LevelWarn, "digest differs after a delta", "A snapshot is fetched; report it if it repeats.")
+	RecoveryWaiting   = declare(2009, slog.LevelWarn, "start waits for a current version", "Neither the table nor enough peers answer; check both.")
+	RecoveryDone      = declare(2010, slog.LevelInfo, "start found its version", "Nothing.")
+	ConfigurationAged = declare(2011, slog.LevelWarn, "node cut off from the source of configuration", "It serves what it holds; check its network.")
+)
+
+// Events of membership.
+var (
+	MemberJoined    = declare(3001, slog.LevelInfo, "member joined", "Nothing.")
+	MemberSuspected = declare(3002, slog.LevelInfo, "member suspected", "Nothing unless it repeats for one instance.")
+	MemberDead      = declare(3003, slog.LevelWarn, "member dead", "Replace the instance if it was not stopped on purpose.")
+	MemberLeft      = declare(3004, slog.LevelInfo, "member left", "Nothing.")
+	SelfRefuted     = declare(3005, slog.LevelWarn, "this node was suspected and refuted it", "Look for pauses or loss on this instance if it repeats.")
+)
+
+// Events of requests.
+var (
+	TargetAnnounced  = declare(4001, slog.LevelInfo, "target announced itself", "Nothing.")
+	TargetLeaving    = declare(4002, slog.LevelInfo, "target leaves", "Nothing; its work in flight is finished.")
+	TargetSilent     = declare(4003, slog.LevelWarn, "target's heartbeat stopped", "Check the target; it gets no new work.")
+	OutcomeUnknown   = declare(4004, slog.LevelWarn, "outcome of a request unknown", "The caller was told so; find the request by its ID at the target.")
+	ConnectionSilent = declare(4005, slog.LevelWarn, "connection went silent", "Nothing; it was replaced and its requests resolved.")
+)
+
+// Events of the impossible: each is a fault of the program, reported with what it saw.
+var (
+	InvariantBroken = declare(9001, slog.LevelError, "invariant broken", "Report it with the whole line.")
+)
--- /dev/null
+++ b/lib/bfsettings/settings.go
@@ -0,0 +1,167 @@
+package bfsettings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	reflector "github.com/invopop/jsonschema"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+// FieldError reports one wrong field of a settings file.
+type FieldError struct {
+	Field   string
+	Value   string
+	Allowed string
+}
+
+// Error names the field, its value and what is allowed.
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("settings field %s: value %s: %s", e.Field, e.Value, e.Allowed)
+}
+
+// FileError reports a settings file that can't be read at all.
+type FileError struct {
+	Path   string
+	Reason error
+}
+
+// Error names the file and the reason.
+func (e *FileError) Error() string { return fmt.Sprintf("settings file %s: %v", e.Path, e.Reason) }
+
+// Unwrap is the reason.
+func (e *FileError) Unwrap() error { return e.Reason }
+
+// Duration is a time.Duration written in settings as "150ms" or "10s".
+type Duration time.Duration
+
+// Std is the duration as package time has it.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// UnmarshalText reads the form of time.ParseDuration.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	*d = Duration(parsed)
+	return err
+}
+
+// MarshalText writes the form of time.Duration.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// JSONSchema is the form allowed for a duration in a settings file.
+func (Duration) JSONSchema() *reflector.Schema {
+	return &reflector.Schema{Type: "string", Pattern: `^([0-9]+(\.[0-9]+)?(ns|us|ms|s|m|h))+$`}
+}
+
+// Load reads the file at path into settings, a pointer to a struct that already holds the defaults.
+func Load(path string, settings any) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return &FileError{Path: path, Reason: err}
+	}
+	if err := Decode(data, settings); err != nil {
+		return &FileError{Path: path, Reason: err}
+	}
+	return nil
+}
+
+// Decode checks data by the schema of settings, then fills settings; on an error settings is left as it was.
+func Decode(data []byte, settings any) error {
+	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		return fmt.Errorf("not JSON: %w", err)
+	}
+	schema, err := compile(settings)
+	if err != nil {
+		return err
+	}
+	if err := schema.Validate(document); err != nil {
+		return fieldErrors(err, document)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(settings); err != nil && !errors.Is(err, io.EOF) {
+		return fmt.Errorf("not the form of these settings: %w", err)
+	}
+	return nil
+}
+
+func reflectSchema(settings any) *reflector.Schema {
+	r := reflector.Reflector{ExpandedStruct: true, DoNotReference: true, Anonymous: true}
+	return r.Reflect(settings)
+}
+
+func compile(settings any) (*jsonschema.Schema, error) {
+	text, err := json.Marshal(reflectSchema(settings))
+	if err != nil {
+		return nil, fmt.Errorf("schema of %T: %w", settings, err)
+	}
+	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		return nil, fmt.Errorf("schema of %T: %w", settings, err)
+	}
+	compiler := jsonschema.NewCompiler()
+	if err := compiler.AddResource("settings.json", document); err != nil {
+		return nil, fmt.Errorf("schema of %T: %w", settings, err)
+	}
+	return compiler.Compile("settings.json")
+}
+
+// fieldErrors turns the schema's tree of causes into one FieldError a wrong field.
+func fieldErrors(err error, document any) error {
+	var invalid *jsonschema.ValidationError
+	if !errors.As(err, &invalid) {
+		return err
+	}
+	printer := message.NewPrinter(language.English)
+	var all []error
+	var walk func(cause *jsonschema.ValidationError)
+	walk = func(cause *jsonschema.ValidationError) {
+		for _, inner := range cause.Causes {
+			walk(inner)
+		}
+		if len(cause.Causes) == 0 {
+			all = append(all, &FieldError{
+				Field:   "/" + strings.Join(cause.InstanceLocation, "/"),
+				Value:   valueAt(document, cause.InstanceLocation),
+				Allowed: cause.ErrorKind.LocalizedString(printer),
+			})
+		}
+	}
+	walk(invalid)
+	sort.Slice(all, func(i, j int) bool { return all[i].Error() < all[j].Error() })
+	return errors.Join(all...)
+}
+
+func valueAt(document any, path []string) string {
+	for _, step := range path {
+		switch node := document.(type) {
+		case map[string]any:
+			document = node[step]
+		case []any:
+			var index int
+			if _, err := fmt.Sscanf(step, "%d", &index); err != nil || index < 0 || index >= len(node) {
+				return "?"
+			}
+			document = node[index]
+		}
+	}
+	text, err := json.Marshal(document)
+	if err != nil {
+		return "?"
+	}
+	const longest = 80
+	if len(text) > longest {
+		return string(text[:longest]) + "…"
+	}
+	return string(text)
+}
