Stand-ins for the platform and the targets, and the transport between nodes

jsonrpc2 never ends a call whose connection broke and delivers calls one after another; both are met in bfpeer and each has a test that failed without it (a call waited for its whole timeout; a quick call waited for a slow one). Nothing is measured yet.

--- /dev/null
+++ b/bfplatform/internal/bffault/doc.go
@@ -0,0 +1,2 @@
+// Package bffault decides which calls to the stand-in platform fail and how.
+package bffault
--- /dev/null
+++ b/bfplatform/internal/bfservice/service.go
@@ -0,0 +1,212 @@
+package bfservice
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"bilberryflow.org/bfplatform/internal/bffault"
+	"bilberryflow.org/lib/bfgroup"
+	"bilberryflow.org/lib/bfmetric"
+	"bilberryflow.org/lib/bfstore"
+	"bilberryflow.org/lib/bftable"
+)
+
+// maxBody is the largest request body in bytes.
+const maxBody = 256 << 20
+
+// Service answers the platform's protocol.
+type Service struct {
+	store  *bfstore.Memory
+	faults *bffault.Switchboard
+	group  *bfgroup.Group
+	reads  *rate.Limiter
+	writes *rate.Limiter
+
+	readCount, writeCount, refusedCount *bfmetric.Counter
+}
+
+// New makes a service over store that takes readRate reads and writeRate writes a second.
+func New(store *bfstore.Memory, faults *bffault.Switchboard, group *bfgroup.Group, readRate, writeRate int, metrics *bfmetric.Registry) *Service {
+	return &Service{
+		store: store, faults: faults, group: group,
+		reads:        rate.NewLimiter(rate.Limit(readRate), readRate),
+		writes:       rate.NewLimiter(rate.Limit(writeRate), writeRate),
+		readCount:    metrics.Counter("reads"),
+		writeCount:   metrics.Counter("writes"),
+		refusedCount: metrics.Counter("refused"),
+	}
+}
+
+// call is one call of the protocol, decoded: what it does, apart from how it may fail.
+type call struct {
+	write bool
+	run   func(ctx context.Context) (status int, answer any)
+}
+
+// ServeHTTP answers one call, unless a fault is on for it.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	decoded, err := s.decode(r)
+	if err != nil {
+		answer(w, http.StatusBadRequest, bftable.FailureAnswer{Reason: err.Error()})
+		return
+	}
+	limiter, counter := s.reads, s.readCount
+	if decoded.write {
+		limiter, counter = s.writes, s.writeCount
+	}
+	counter.Add(1)
+	verdict := s.faults.Judge(time.Now(), decoded.write)
+	if verdict.Refuse || !limiter.Allow() {
+		s.refuse(w, verdict.Refuse)
+		return
+	}
+	s.run(w, r, decoded, verdict)
+}
+
+func (s *Service) refuse(w http.ResponseWriter, down bool) {
+	s.refusedCount.Add(1)
+	w.Header().Set("Retry-After", "1")
+	if down {
+		answer(w, http.StatusServiceUnavailable, bftable.FailureAnswer{Reason: "platform is down"})
+		return
+	}
+	answer(w, http.StatusTooManyRequests, bftable.FailureAnswer{Reason: "rate ceiling reached"})
+}
+
+func (s *Service) run(w http.ResponseWriter, r *http.Request, decoded call, verdict bffault.Verdict) {
+	switch {
+	case verdict.Hang:
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	case verdict.Late:
+		s.group.Go("late write", func(ctx context.Context) error {
+			wait(ctx, verdict.Delay)
+			decoded.run(ctx)
+			return nil
+		})
+		panic(http.ErrAbortHandler)
+	}
+	wait(r.Context(), verdict.Delay)
+	status, body := decoded.run(r.Context())
+	if verdict.Cut {
+		panic(http.ErrAbortHandler)
+	}
+	if data, raw := body.([]byte); raw {
+		w.WriteHeader(status)
+		// The caller that went away has its own error for it.
+		_, _ = w.Write(data)
+		return
+	}
+	answer(w, status, body)
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The caller that went away has its own error for it.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+var errNoSuchCall = errors.New("no such call")
+
+func (s *Service) decode(r *http.Request) (call, error) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		return call{}, err
+	}
+	if name, found := strings.CutPrefix(r.URL.EscapedPath(), bftable.PathObjects); found {
+		return s.decodeObject(r, name, body)
+	}
+	if r.Method != http.MethodPost {
+		return call{}, errNoSuchCall
+	}
+	switch r.URL.Path {
+	case bftable.PathGet:
+		var request bftable.GetRequest
+		return call{run: func(ctx context.Context) (int, any) { return rows(s.store.Get(ctx, request.Keys...)) }}, strict(body, &request)
+	case bftable.PathRange:
+		var request bftable.RangeRequest
+		return call{run: func(ctx context.Context) (int, any) {
+			return rows(s.store.Range(ctx, request.From, request.To, request.Limit))
+		}}, strict(body, &request)
+	case bftable.PathCommit:
+		var tx bfstore.Transaction
+		return call{write: true, run: func(ctx context.Context) (int, any) { return committed(s.store.Commit(ctx, tx)) }}, strict(body, &tx)
+	}
+	return call{}, errNoSuchCall
+}
+
+func strict(body []byte, into any) error {
+	decoder := json.NewDecoder(strings.NewReader(string(body)))
+	decoder.DisallowUnknownFields()
+	return decoder.Decode(into)
+}
+
+func rows(rows []bfstore.Row, err error) (int, any) {
+	if err != nil {
+		return http.StatusInternalServerError, bftable.FailureAnswer{Reason: err.Error()}
+	}
+	return http.StatusOK, bftable.RowsAnswer{Rows: rows}
+}
+
+func committed(err error) (int, any) {
+	var conflict *bfstore.ConflictError
+	if errors.As(err, &conflict) {
+		return http.StatusConflict, bftable.ConflictAnswer{Row: conflict.Row}
+	}
+	return http.StatusOK, struct{}{}
+}
+
+func (s *Service) decodeObject(r *http.Request, escaped string, body []byte) (call, error) {
+	name, err := url.PathUnescape(escaped)
+	if err != nil {
+		return call{}, err
+	}
+	switch {
+	case r.Method == http.MethodGet && name == "":
+		prefix := r.URL.Query().Get("prefix")
+		return call{run: func(ctx context.Context) (int, any) {
+			names, _ := s.store.ListObjects(ctx, prefix)
+			return http.StatusOK, bftable.NamesAnswer{Names: names}
+		}}, nil
+	case name == "":
+		return call{}, errNoSuchCall
+	case r.Method == http.MethodGet:
+		return call{run: func(ctx context.Context) (int, any) {
+			data, err := s.store.Object(ctx, name)
+			if err != nil {
+				return http.StatusNotFound, bftable.FailureAnswer{Reason: err.Error()}
+			}
+			return http.StatusOK, data
+		}}, nil
+	case r.Method == http.MethodPut:
+		return call{write: true, run: func(ctx context.Context) (int, any) {
+			return committed(s.store.PutObject(ctx, name, body))
+		}}, nil
+	case r.Method == http.MethodDelete:
+		return call{write: true, run: func(ctx context.Context) (int, any) {
+			return committed(s.store.DeleteObject(ctx, name))
+		}}, nil
+	}
+	return call{}, errNoSuchCall
+}
--- a/bftarget/main.go
+++ b/bftarget/main.go
@@ -1,4 +1,10 @@
-// Command bftarget is a program of bilberryflow.
+// Command bftarget stands in for a target instance of the users.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"bilberryflow.org/bftarget/internal/bfcommand"
+)
+
+func main() { os.Exit(bfcommand.Program().Main()) }
--- /dev/null
+++ b/lib/bfpeer/frame.go
@@ -0,0 +1,150 @@
+package bfpeer
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/klauspost/compress/zstd"
+	"golang.org/x/exp/jsonrpc2"
+)
+
+// framer puts JSON-RPC messages on a stream as a length and a zstd frame.
+//
+// The library's own framings spend a header line and plain JSON on each
+// message; docs/design/wire.md has the figures.
+type framer struct {
+	traffic *Traffic
+	// purposes maps methods to what they are counted as.
+	purposes map[string]Purpose
+	// calls remembers the purpose of each outgoing call until its answer.
+	calls *sync.Map
+}
+
+const (
+	// maxMessage bounds what a peer can make a node allocate, in bytes.
+	maxMessage = 64 << 20
+	// compressAbove is the message size in bytes from which compression pays.
+	compressAbove = 128
+	plainMark     = 0
+	packedMark    = 1
+)
+
+var (
+	packer, _   = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(1<<20))
+	unpacker, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxMessage))
+)
+
+// FrameError reports bytes on a connection that are not a message.
+type FrameError struct{ Reason string }
+
+// Error gives the reason.
+func (e *FrameError) Error() string { return "unreadable frame: " + e.Reason }
+
+func (f *framer) purposeOf(message jsonrpc2.Message, outgoing bool) Purpose {
+	switch m := message.(type) {
+	case *jsonrpc2.Request:
+		purpose := f.purposes[m.Method]
+		if m.IsCall() {
+			f.calls.Store(callKey{m.ID, outgoing}, purpose)
+		}
+		return purpose
+	case *jsonrpc2.Response:
+		if purpose, found := f.calls.LoadAndDelete(callKey{m.ID, !outgoing}); found {
+			return purpose.(Purpose)
+		}
+	}
+	return Operators
+}
+
+type callKey struct {
+	id       jsonrpc2.ID
+	outgoing bool
+}
+
+// Reader reads messages from one end of a connection.
+func (f *framer) Reader(r io.Reader) jsonrpc2.Reader {
+	return &frameReader{framer: f, in: bufio.NewReader(r)}
+}
+
+// Writer writes messages to one end of a connection.
+func (f *framer) Writer(w io.Writer) jsonrpc2.Writer { return &frameWriter{framer: f, out: w} }
+
+type frameReader struct {
+	framer *framer
+	in     *bufio.Reader
+}
+
+// Read reads one message.
+func (r *frameReader) Read(ctx context.Context) (jsonrpc2.Message, int64, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, 0, err
+	}
+	size, err := binary.ReadUvarint(r.in)
+	if err != nil {
+		return nil, 0, err
+	}
+	if size < 1 || size > maxMessage {
+		return nil, 0, &FrameError{Reason: fmt.Sprintf("length %d", size)}
+	}
+	data := make([]byte, size)
+	if _, err := io.ReadFull(r.in, data); err != nil {
+		return nil, 0, err
+	}
+	total := int64(size) + int64(binary.PutUvarint(make([]byte, binary.MaxVarintLen64), size))
+	message, err := decodeFrame(data)
+	if err != nil {
+		return nil, total, err
+	}
+	r.framer.traffic.addReceived(r.framer.purposeOf(message, false), int(total))
+	return message, total, nil
+}
+
+func decodeFrame(data []byte) (jsonrpc2.Message, error) {
+	mark, body := data[0], data[1:]
+	switch mark {
+	case plainMark:
+	case packedMark:
+		var err error
+		if body, err = unpacker.DecodeAll(body, nil); err != nil {
+			return nil, &FrameError{Reason: err.Error()}
+		}
+	default:
+		return nil, &FrameError{Reason: fmt.Sprintf("mark %d", mark)}
+	}
+	return jsonrpc2.DecodeMessage(body)
+}
+
+type frameWriter struct {
+	framer *framer
+	out    io.Writer
+}
+
+// Write writes one message.
+func (w *frameWriter) Write(ctx context.Context, message jsonrpc2.Message) (int64, error) {
+	if err := ctx.Err(); err != nil {
+		return 0, err
+	}
+	data, err := jsonrpc2.EncodeMessage(message)
+	if err != nil {
+		return 0, err
+	}
+	frame := encodeFrame(data)
+	n, err := w.out.Write(frame)
+	w.framer.traffic.addSent(w.framer.purposeOf(message, true), n)
+	return int64(n), err
+}
+
+func encodeFrame(data []byte) []byte {
+	body := []byte{plainMark}
+	if len(data) >= compressAbove {
+		body = packer.EncodeAll(data, []byte{packedMark})
+	} else {
+		body = append(body, data...)
+	}
+	frame := binary.AppendUvarint(make([]byte, 0, len(body)+binary.MaxVarintLen64), uint64(len(body)))
+	return append(frame, body...)
+}
--- /dev/null
+++ b/lib/bfpeer/peer_test.go
@@ -0,0 +1,143 @@
+package bfpeer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bilberryflow.org/lib/bfgroup"
+	"bilberryflow.org/lib/bfmetric"
+)
+
+type echo struct {
+	Text string `json:"text"`
+}
+
+func echoMethods(block <-chan struct{}) Methods {
+	return Methods{
+		"echo": {Purpose: Repair, Handle: func(_ context.Context, params json.RawMessage) (any, error) {
+			var e echo
+			return &e, json.Unmarshal(params, &e)
+		}},
+		"block": {Purpose: Requests, Handle: func(context.Context, json.RawMessage) (any, error) {
+			<-block
+			return &echo{}, nil
+		}},
+	}
+}
+
+// serve starts a peer and returns its address and its traffic.
+func serve(t *testing.T, methods Methods) (string, *Traffic) {
+	t.Helper()
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	group := bfgroup.New(context.Background())
+	traffic := NewTraffic(bfmetric.New())
+	calls := NewCalls(methods, traffic, group)
+	group.Go("serve", func(ctx context.Context) error { return calls.Serve(ctx, listener) })
+	t.Cleanup(group.Cancel)
+	return listener.Addr().String(), traffic
+}
+
+func client(t *testing.T, methods Methods) (*Calls, *Traffic) {
+	group := bfgroup.New(context.Background())
+	traffic := NewTraffic(bfmetric.New())
+	t.Cleanup(group.Cancel)
+	return NewCalls(methods, traffic, group), traffic
+}
+
+func TestCallCountsBytesByPurpose(t *testing.T) {
+	is := is.New(t)
+	address, served := serve(t, echoMethods(nil))
+	calls, traffic := client(t, echoMethods(nil))
+	var answer echo
+	sent := echo{Text: strings.Repeat("a line of configuration; ", 1000)}
+	is.NoErr(calls.Call(context.Background(), address, "echo", &sent, &answer))
+	is.Equal(answer, sent)
+	is.Equal(traffic.Sent(Repair), served.Received(Repair))
+	is.Equal(traffic.Received(Repair), served.Sent(Repair))
+	is.True(traffic.Sent(Repair) > 0)
+	is.True(traffic.Sent(Repair) < int64(len(sent.Text))/10) // compressed
+	is.Equal(traffic.Sent(Operators), int64(0))
+}
+
+// A slow call is in progress on a connection when a quick one comes on the same
+// connection. The quick one must be answered first, or one waiting question
+// would hold back all later ones between two nodes.
+func TestCallsDoNotWaitForEachOther(t *testing.T) {
+	is := is.New(t)
+	block := make(chan struct{})
+	address, _ := serve(t, echoMethods(block))
+	calls, _ := client(t, echoMethods(nil))
+	slow := make(chan error, 1)
+	go func() { slow <- calls.Call(context.Background(), address, "block", &echo{}, nil) }()
+	is.NoErr(calls.Call(context.Background(), address, "echo", &echo{Text: "quick"}, nil))
+	close(block)
+	is.NoErr(<-slow)
+}
+
+// The peer's process dies while a call waits. The caller must be told at once,
+// not when its timeout ends, and the next call must use a new connection.
+func TestCallEndsWhenTheConnectionBreaks(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	accepted := make(chan net.Conn)
+	go func() {
+		conn, _ := listener.Accept()
+		accepted <- conn
+	}()
+	calls, _ := client(t, echoMethods(nil))
+	result := make(chan error, 1)
+	go func() { result <- calls.Call(context.Background(), listener.Addr().String(), "echo", &echo{}, nil) }()
+	conn := <-accepted
+	_, err = io.ReadFull(conn, make([]byte, 1))
+	is.NoErr(err)
+	conn.Close()
+	listener.Close()
+	var unreachable *UnreachableError
+	is.True(errors.As(<-result, &unreachable))
+	is.True(errors.As(calls.Call(context.Background(), listener.Addr().String(), "echo", &echo{}, nil), &unreachable))
+}
+
+// A connection goes silent while new ones work: the peer's machine lost track
+// of it. The call on it ends with its timeout, and the next call must get its
+// answer over a new connection.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	silent := make(chan net.Conn, 1)
+	group := bfgroup.New(context.Background())
+	defer group.Cancel()
+	served := NewCalls(echoMethods(nil), NewTraffic(bfmetric.New()), group)
+	go func() {
+		conn, _ := listener.Accept() // held open and never read
+		silent <- conn
+		group.Go("serve", func(ctx context.Context) error { return served.Serve(ctx, listener) })
+	}()
+	calls, _ := client(t, echoMethods(nil))
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	var unreachable *UnreachableError
+	err = calls.Call(ctx, listener.Addr().String(), "echo", &echo{}, nil)
+	is.True(errors.As(err, &unreachable))
+	is.NoErr(calls.Call(context.Background(), listener.Addr().String(), "echo", &echo{}, nil))
+	(<-silent).Close()
+}
+
+func TestDecodeFrameRefusesForeignBytes(t *testing.T) {
+	is := is.New(t)
+	for _, data := range [][]byte{{7, 1}, {packedMark, 1, 2, 3}, {plainMark, '{'}, []byte("\x00[]")} {
+		_, err := decodeFrame(data)
+		is.True(err != nil)
+	}
+}
--- /dev/null
+++ b/lib/bfprogram/program.go
@@ -0,0 +1,161 @@
+package bfprogram
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/go-kratos/kratos/v2"
+	"github.com/go-kratos/kratos/v2/transport"
+	"github.com/integrii/flaggy"
+
+	"bilberryflow.org/lib/bflog"
+	"bilberryflow.org/lib/bfserver"
+	"bilberryflow.org/lib/bfsettings"
+)
+
+// Version is the version of every program of this tree.
+const Version = "0.1.0"
+
+// Exit codes of the daemons.
+const (
+	ExitStopped  = 0 // stopped gracefully, or printed what was asked for
+	ExitFailed   = 1 // failed while it ran
+	ExitSettings = 2 // wrong command line or settings; nothing was started
+)
+
+// App is what a program runs until it is stopped.
+type App struct {
+	// Servers start together and stop together.
+	Servers []transport.Server
+	// Drain runs before the servers stop; it returns when no work is in flight, or with ctx.
+	Drain func(ctx context.Context)
+	// StopTimeout bounds the whole graceful stop.
+	StopTimeout time.Duration
+}
+
+// Program describes one daemon; S is its settings struct.
+type Program[S any] struct {
+	Name        string
+	Description string
+	// Defaults are the settings before the file is read.
+	Defaults func() S
+	// Example are settings that show every field.
+	Example func() S
+	// Check finds what a schema can't express.
+	Check func(S) error
+	// Instance names the process in its logs.
+	Instance func(S) string
+	// Build makes the app; it may listen but not serve.
+	Build func(S, *bflog.Logger) (App, error)
+}
+
+type arguments struct {
+	settings string
+	check    bool
+	example  bool
+}
+
+// Main runs the program with the process's arguments and returns its exit code.
+func (p Program[S]) Main() int {
+	return p.run(os.Args[1:], os.Stdout, os.Stderr)
+}
+
+func (p Program[S]) run(args []string, out, errOut io.Writer) int {
+	parsed, err := p.parse(args)
+	if err != nil {
+		fmt.Fprintf(errOut, "%s: %v\n", p.Name, err)
+		return ExitSettings
+	}
+	if parsed.example {
+		return p.printExample(out, errOut)
+	}
+	settings, err := p.load(parsed.settings)
+	if err != nil {
+		fmt.Fprintf(errOut, "%s: %v\n", p.Name, err)
+		return ExitSettings
+	}
+	if parsed.check {
+		fmt.Fprintf(out, "%s: settings are valid\n", p.Name)
+		return ExitStopped
+	}
+	return p.serve(settings, errOut)
+}
+
+func (p Program[S]) parse(args []string) (arguments, error) {
+	var parsed arguments
+	parser := flaggy.NewParser(p.Name)
+	parser.Description = p.Description
+	parser.Version = Version
+	parser.ShowHelpOnUnexpected = true
+	parser.String(&parsed.settings, "s", "settings", "The JSON settings file.")
+	parser.Bool(&parsed.check, "c", "check", "Check the settings and exit.")
+	parser.Bool(&parsed.example, "e", "example", "Print example settings and exit.")
+	if err := parser.ParseArgs(args); err != nil {
+		return arguments{}, err
+	}
+	if parsed.settings == "" && !parsed.example {
+		return arguments{}, fmt.Errorf("--settings FILE is needed; --example prints one")
+	}
+	return parsed, nil
+}
+
+func (p Program[S]) printExample(out, errOut io.Writer) int {
+	example := p.Example()
+	text, err := bfsettings.Example(&example)
+	if err != nil {
+		fmt.Fprintf(errOut, "%s: %v\n", p.Name, err)
+		return ExitFailed
+	}
+	fmt.Fprint(out, text)
+	return ExitStopped
+}
+
+func (p Program[S]) load(path string) (S, error) {
+	settings := p.Defaults()
+	if err := bfsettings.Load(path, &settings); err != nil {
+		return settings, err
+	}
+	return settings, p.Check(settings)
+}
+
+func (p Program[S]) serve(settings S, errOut io.Writer) int {
+	bfserver.Quiet()
+	logger := bflog.New(errOut, p.Instance(settings), slog.LevelInfo)
+	app, err := p.Build(settings, logger)
+	if err != nil {
+		logger.Emit(bflog.ProcessFailed, bflog.Err(err))
+		return ExitFailed
+	}
+	logger.Emit(bflog.ProcessStarted, slog.String("program", p.Name), slog.String("version", Version))
+	if err := p.app(app, logger).Run(); err != nil {
+		logger.Emit(bflog.ProcessFailed, bflog.Err(err))
+		return ExitFailed
+	}
+	logger.Emit(bflog.ProcessStopped)
+	return ExitStopped
+}
+
+func (p Program[S]) app(app App, logger *bflog.Logger) *kratos.App {
+	return kratos.New(
+		kratos.Name(p.Name),
+		kratos.Version(Version),
+		kratos.Server(app.Servers...),
+		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
+		kratos.StopTimeout(app.StopTimeout),
+		kratos.BeforeStop(func(ctx context.Context) error {
+			logger.Emit(bflog.ProcessStopping)
+			if app.Drain == nil {
+				return nil
+			}
+			ctx, cancel := context.WithTimeout(ctx, app.StopTimeout)
+			defer cancel()
+			app.Drain(ctx)
+			return nil
+		}),
+	)
+}
