--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 LINT_VERSION := v2.15.0
 TOOLS := $(CURDIR)/.tools/bin
 BIN := $(CURDIR)/bin
-PROGRAMS := bfnode bfctl bfplatform bftarget
+PROGRAMS := bfnode bfctl bfplatform bftarget bftrial
 
 .PHONY: build test lint format demo spec measure docs tools
 
@@ -26,10 +26,7 @@
 	@for m in lib $(PROGRAMS); do (cd $$m && $(TOOLS)/golangci-lint fmt ./...) || exit 1; done
 
 demo: build
-	@sh demo/run.sh $(BIN)
+	@$(BIN)/bftrial demo --binaries $(BIN)
 
 spec:
 	@sh spec/check.sh
-
-docs:
-	go run ./bfnode docs
--- a/bfnode/internal/bfcommand/node.go
+++ b/bfnode/internal/bfcommand/node.go
@@ -69,8 +69,11 @@
 	n.client = bfforward.New(options)
 	minter := bfrecord.NewMinter(n.home)
 	directory := bfdirectory.New(settings.FailureDomain)
-	n.newGuard(minter)
-	if err := n.newControl(directory); err != nil {
+	traffic := bfpeer.NewTraffic(n.metrics)
+	methods := bfpeer.Methods{}
+	n.calls = bfpeer.NewCalls(methods, traffic, n.group)
+	n.newGuard(minter, directory)
+	if err := n.newControl(directory, traffic, methods); err != nil {
 		return nil, err
 	}
 	n.newCaller(directory, minter)
@@ -78,24 +81,22 @@
 	return n, nil
 }
 
-func (n *node) newGuard(minter *bfrecord.Minter) {
+func (n *node) newGuard(minter *bfrecord.Minter, directory *bfdirectory.Directory) {
 	options := bfforward.DefaultOptions()
 	n.guard = bfguard.New(bfguard.Parts{
 		Home: n.home, Service: n.settings.Service, ColdStart: n.coldStart,
 		View: n.view, Client: bfforward.New(options), Minter: minter,
 		Timer: n.timer, Logger: n.logger, Metrics: n.metrics, Tell: n.tell,
+		Table: n.platform, Directory: directory, Resolver: bfguard.Resolver{Calls: n.calls}, Spawn: n.group.Go,
 	})
 }
 
 // newControl needs the guard, whose calls it answers beside its own.
-func (n *node) newControl(directory *bfdirectory.Directory) error {
-	traffic := bfpeer.NewTraffic(n.metrics)
+func (n *node) newControl(directory *bfdirectory.Directory, traffic *bfpeer.Traffic, methods bfpeer.Methods) error {
 	datagrams, err := bfpeer.ListenDatagrams(n.settings.Listen.Peer, traffic)
 	if err != nil {
 		return err
 	}
-	methods := bfpeer.Methods{}
-	n.calls = bfpeer.NewCalls(methods, traffic, n.group)
 	n.control, err = bfcontrol.New(bfcontrol.Parts{
 		Self: n.row(), Seeds: n.settings.Seeds, Profile: n.settings.profile(),
 		Table: n.platform, Objects: n.platform, Datagrams: datagrams, Calls: n.calls,
--- /dev/null
+++ b/bftrial/internal/bfcommand/doc.go
@@ -0,0 +1,2 @@
+// Package bfcommand is the program bftrial: its command line.
+package bfcommand
--- a/bftrial/internal/bfdemo/demo.go
+++ b/bftrial/internal/bfdemo/demo.go
@@ -92,7 +92,10 @@
 		}
 	}
 	d.say("three nodes run, each with a target beside it; they find each other through the platform's table")
-	return d.fleet.AwaitNodes()
+	if err := d.fleet.AwaitNodes(); err != nil {
+		return err
+	}
+	return d.fleet.AwaitMembers(convergeLimit)
 }
 
 func (d *Demo) configure() error {
--- a/bftrial/internal/bffleet/calls.go
+++ b/bftrial/internal/bffleet/calls.go
@@ -127,15 +127,24 @@
 
 // AwaitVersion waits until every node has version in force.
 func (f *Fleet) AwaitVersion(version int, limit time.Duration) error {
+	return f.awaitMetric("config_version_in_force", float64(version), limit)
+}
+
+// AwaitMembers waits until every node knows every other.
+func (f *Fleet) AwaitMembers(limit time.Duration) error {
+	return f.awaitMetric("members", float64(len(f.order)), limit)
+}
+
+func (f *Fleet) awaitMetric(name string, want float64, limit time.Duration) error {
 	deadline := time.Now().Add(limit)
 	for _, node := range f.Nodes() {
 		for {
 			metrics, err := f.Metrics(node)
-			if err == nil && Number(metrics, "config_version_in_force") >= float64(version) {
+			if err == nil && Number(metrics, name) >= want {
 				break
 			}
 			if time.Now().After(deadline) {
-				return fmt.Errorf("node %s has version %v in force, not %d, after %v", node.name, metrics["config_version_in_force"], version, limit)
+				return fmt.Errorf("%s of node %s is %v, not %v, after %v", name, node.name, metrics[name], want, limit)
 			}
 			time.Sleep(5 * time.Millisecond)
 		}
--- a/bftrial/main.go
+++ b/bftrial/main.go
@@ -2,15 +2,9 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
-	"bilberryflow.org/bftrial/internal/bfdemo"
+	"bilberryflow.org/bftrial/internal/bfcommand"
 )
 
-func main() {
-	if err := bfdemo.Run("bin", os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "bftrial:", err)
-		os.Exit(1)
-	}
-}
+func main() { os.Exit(bfcommand.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/lib/bfadmit/class.go
+++ b/lib/bfadmit/class.go
@@ -7,9 +7,9 @@
 
 // job is one request that runs or waits.
 type job struct {
-	request   Request
-	class     *class
-	tenant    *tenant
+	request Request
+	class   *class
+	tenant  *tenant
 	// level is how many slots and waiters its tenant had when it came.
 	level     int
 	running   bool
@@ -19,7 +19,7 @@
 // begun is what the gate remembers of a start.
 type begun struct {
 	class  *class
-	tenant string
+	tenant *tenant
 	level  int
 }
 
@@ -34,6 +34,8 @@
 	queue []*job
 	// kept counts those of queue that a sweep has kept so far.
 	kept int
+	// levels are those of its recent starts, for one estimate.
+	levels []int
 }
 
 // class is the state of one class at the gate.
--- a/lib/bfadmit/estimate.go
+++ b/lib/bfadmit/estimate.go
@@ -56,29 +56,6 @@
 	steady time.Duration
 }
 
-// ownStarts is how many starts of its class it takes to start j, with ahead
-// waiters of the class before it, tenantAhead of them its tenant's.
-//
-// A tenant with many waiters is overtaken by those who come later for tenants
-// with few. How many will is taken from the share of recent starts that came
-// with less than half of what j's tenant has before it. Without this, one
-// tenant's flood was let in and most of it refused again near its deadlines.
-func (g *Gate) ownStarts(j *job, ahead, tenantAhead int) int {
-	own, c := ahead+1, j.class
-	half := (j.tenant.inUse + tenantAhead) / 2
-	left := c.recent
-	for i := range g.recent {
-		b := &g.recent[i]
-		if b.class == c && b.level < half && b.tenant != j.tenant.name {
-			left--
-		}
-	}
-	if left == c.recent {
-		return own
-	}
-	return own * c.recent / max(left, c.recent/minShareEvery, 1)
-}
-
 // waitOf is the wait of a waiter that takes own starts of class c, with tenantAhead of its tenant's before it.
 func (g *Gate) waitOf(now time.Time, c *class, r rate, own, tenantAhead int) wait {
 	starts := own + r.before
@@ -147,6 +124,7 @@
 type planned struct {
 	job   *job
 	level int
+	turn  uint64
 }
 
 // sweep refuses the waiters whose start or deadline has become out of reach,
@@ -165,10 +143,11 @@
 
 func (g *Gate) sweepClass(now time.Time, c *class) {
 	r := g.rateOf(now, c)
+	g.overtaking.measure(g, c)
 	kept := 0
 	for _, p := range g.plan(c) {
 		t := p.job.tenant
-		wait := g.waitOf(now, c, r, g.ownStarts(p.job, kept, t.kept), t.kept)
+		wait := g.waitOf(now, c, r, g.overtaking.starts(p.job, kept, t.kept), t.kept)
 		late := !g.inTime(now, c, wait.total, p.job.request.Deadline)
 		tooLongToDrain := g.draining && now.Add(wait.total).After(g.drainBy)
 		switch {
@@ -190,11 +169,11 @@
 	for _, t := range c.active {
 		t.kept = 0
 		for i, j := range t.queue {
-			g.planned = append(g.planned, planned{job: j, level: t.inUse + i})
+			g.planned = append(g.planned, planned{job: j, level: t.inUse + i, turn: t.turn})
 		}
 	}
 	slices.SortFunc(g.planned, func(a, b planned) int {
-		return cmp.Or(cmp.Compare(a.level, b.level), cmp.Compare(a.job.tenant.turn, b.job.tenant.turn))
+		return cmp.Or(cmp.Compare(a.level, b.level), cmp.Compare(a.turn, b.turn))
 	})
 	return g.planned
 }
--- a/lib/bfadmit/gate.go
+++ b/lib/bfadmit/gate.go
@@ -60,8 +60,10 @@
 	draining    bool
 	drainBy     time.Time
 
-	notices []Notice
-	planned []planned
+	// What follows is reused from call to call.
+	notices    []Notice
+	planned    []planned
+	overtaking overtaking
 }
 
 // NewGate makes an empty gate.
@@ -120,7 +122,8 @@
 func (g *Gate) queue(now time.Time, j *job) Verdict {
 	c, request := j.class, j.request
 	place := g.discipline.place(j.tenant, request.Deadline)
-	own := g.ownStarts(j, c.ahead(j.tenant, place), place)
+	g.overtaking.measure(g, c)
+	own := g.overtaking.starts(j, c.ahead(j.tenant, place), place)
 	wait := g.waitOf(now, c, g.rateOf(now, c), own, place)
 	if !g.inTime(now, c, wait.total, request.Deadline) {
 		return Refuse{reason: Unreachable, retryAfter: g.retryAfter(now, c)}
@@ -338,7 +341,7 @@
 	if oldest := g.recent[g.recentAt].class; oldest != nil {
 		oldest.recent--
 	}
-	g.recent[g.recentAt] = begun{class: j.class, tenant: j.tenant.name, level: j.level}
+	g.recent[g.recentAt] = begun{class: j.class, tenant: j.tenant, level: min(j.level, maxLevel)}
 	g.recentAt = (g.recentAt + 1) % window
 	j.class.recent++
 }
--- a/lib/bfadmit/naive_test.go
+++ b/lib/bfadmit/naive_test.go
@@ -22,6 +22,7 @@
 	passed   map[string]int
 	turns    map[string]int
 	turn     int
+	births   map[string]int // how often the tenant came anew
 	starts   []naiveStart // the newest last
 	services map[string]*meter
 	service  meter
@@ -142,10 +143,14 @@
 	return count
 }
 
+func (n *naiveGate) birth(class, tenant string) string {
+	return fmt.Sprint(tenant, " ", n.births[class+tenant])
+}
+
 func (n *naiveGate) own(class, tenant string, ahead, tenantAhead int) int {
-	half := (n.running(class, tenant) + tenantAhead) / 2
+	half := min((n.running(class, tenant)+tenantAhead)/2, 64)
 	all := n.recent(func(s naiveStart) bool { return s.class == class })
-	overtook := n.recent(func(s naiveStart) bool { return s.class == class && s.tenant != tenant && s.level < half })
+	overtook := n.recent(func(s naiveStart) bool { return s.class == class && s.tenant != n.birth(class, tenant) && s.level < half })
 	if overtook == 0 {
 		return ahead + 1
 	}
@@ -171,7 +176,7 @@
 	n.turn++
 	n.turns[j.Class+j.Tenant] = n.turn
 	j.running, j.started, n.progress = true, now, now
-	n.starts = append(n.starts, naiveStart{j.Class, j.Tenant, j.level})
+	n.starts = append(n.starts, naiveStart{j.Class, n.birth(j.Class, j.Tenant), min(j.level, 64)})
 	n.starts = n.starts[max(0, len(n.starts)-64):]
 	if len(n.line(j.Class)) == 0 {
 		n.passed[j.Class] = 0
@@ -238,6 +243,7 @@
 	_, known := n.turns[key]
 	if !known {
 		n.turns[key] = n.turn + 1
+		n.births[key]++
 	}
 	n.list = append(n.list, j)
 	verdict := n.judge(now, j)
@@ -336,11 +342,11 @@
 	rapid.Check(t, func(t *rapid.T) {
 		slots := rapid.IntRange(1, 3).Draw(t, "slots")
 		cold := time.Duration(rapid.IntRange(0, 2).Draw(t, "cold")) * 100 * time.Millisecond
-		queue := rapid.IntRange(2, 9).Draw(t, "queue")
+		queue := rapid.SampledFrom([]int{2, 5, 9, 40}).Draw(t, "queue")
 		gate := NewGate(Config{Slots: slots, Queue: queue, ColdSince: start, ColdStart: cold})
 		naive := &naiveGate{
 			capacity: newCapacity(slots, start, cold), maxQueue: queue, limits: map[string]Request{},
-			passed: map[string]int{}, turns: map[string]int{}, services: map[string]*meter{},
+			passed: map[string]int{}, turns: map[string]int{}, births: map[string]int{}, services: map[string]*meter{},
 		}
 		now := start
 		for i := range rapid.IntRange(80, 150).Draw(t, "steps") {
@@ -440,10 +446,10 @@
 func drawRequest(t *rapid.T, now time.Time, i int) Request {
 	class := rapid.IntRange(0, 2).Draw(t, "class")
 	return Request{
-		ID: fmt.Sprintf("r%03d", i), Class: fmt.Sprintf("c%d", class), Tenant: fmt.Sprintf("t%d", rapid.IntRange(0, 2).Draw(t, "tenant")),
-		Priority: []int{0, 0, 5}[class], Queue: rapid.IntRange(0, 5).Draw(t, "queue"),
+		ID: fmt.Sprintf("r%03d", i), Class: fmt.Sprintf("c%d", class), Tenant: rapid.SampledFrom([]string{"t0", "t0", "t0", "t0", "t1", "t2"}).Draw(t, "tenant"),
+		Priority: []int{0, 0, 5}[class], Queue: rapid.SampledFrom([]int{0, 2, 4, 30}).Draw(t, "queue"),
 		Concurrency: rapid.SampledFrom([]int{0, 0, 0, 0, 2}).Draw(t, "concurrency"),
 		TenantLimit: rapid.SampledFrom([]int{0, 0, 0, 0, 1}).Draw(t, "tenantLimit"),
-		Deadline:    now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "deadline")) * time.Millisecond),
+		Deadline:    now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "deadline")) * time.Millisecond),
 	}
 }
--- a/lib/bfadmit/overload_test.go
+++ b/lib/bfadmit/overload_test.go
@@ -15,15 +15,19 @@
 
 // The experiment is one target and its callers in arithmetic: ten callers' seconds
 // at half of the capacity, an event's start that brings twenty times as many
-// for five seconds, and twenty seconds after. A caller who is refused comes
+// for five seconds, and the time after. A caller who is refused comes
 // back when it was told to, one who is not answered by its deadline asks again
 // at once; each tries four times in all.
 
 const (
 	spikeFrom  = 10 * time.Second
 	spikeUntil = 15 * time.Second
-	runLength  = 35 * time.Second
+	runLength  = 110 * time.Second
 	maxTries   = 4
+	// Those who come in afterFrom to afterUntil are the callers after the spike:
+	// by then the refused ones have come back.
+	afterFrom  = 80 * time.Second
+	afterUntil = 100 * time.Second
 )
 
 type kind struct {
@@ -232,7 +236,7 @@
 		switch came := c.first.Sub(start); {
 		case came < spikeFrom:
 			k.before[1]++
-		case came >= spikeUntil+5*time.Second && came < runLength-5*time.Second:
+		case came >= afterFrom && came < afterUntil:
 			k.after[1]++
 		}
 		return
@@ -349,7 +353,7 @@
 		is.True(k.late*100 < k.served*5) // hardly any work is done for callers who have gone
 		is.True(k.after[1] > 0)
 		rateBefore := float64(k.before[1]) / spikeFrom.Seconds()
-		rateAfter := float64(k.after[1]) / (runLength - spikeUntil - 10*time.Second).Seconds()
+		rateAfter := float64(k.after[1]) / (afterUntil - afterFrom).Seconds()
 		is.True(rateAfter > 0.85*rateBefore) // the spike leaves nothing behind
 	}
 }
@@ -362,20 +366,25 @@
 			request := Request{Class: "look-up", Queue: 1 << 20, Deadline: now.Add(time.Hour)}
 			for i := range ids {
 				ids[i] = fmt.Sprint(i)
-				request.ID, request.Tenant = ids[i], fmt.Sprint(i%20)
+				request.ID, request.Tenant = ids[i], ids[i][len(ids[i])-1:]
 				gate.Offer(now, request)
 			}
-			at := 0
+			running := slices.Clone(ids[:12])
 			b.ReportAllocs()
 			for b.Loop() {
 				now = now.Add(time.Microsecond)
-				request.ID, request.Tenant = ids[at%len(ids)], fmt.Sprint(at%20)
+				request.ID, request.Tenant = running[0], running[0][len(running[0])-1:]
 				notices, err := gate.Finish(now, request.ID, Done)
 				if err != nil {
-					b.Fatal(err, notices)
+					b.Fatal(err)
+				}
+				running = append(running[:0], running[1:]...)
+				for _, n := range notices {
+					running = append(running, n.ID())
+				}
+				if verdict, _ := gate.Offer(now, request); verdict == (Run{}) {
+					running = append(running, request.ID)
 				}
-				gate.Offer(now, request)
-				at++
 			}
 		})
 	}
--- a/lib/bfcontrol/control.go
+++ b/lib/bfcontrol/control.go
@@ -114,7 +114,7 @@
 	})
 	c.loop.post(ctx, func(now time.Time) {
 		c.memberActions(now, c.members.Start(now, c.parts.Seeds))
-		c.spreadActions(now, c.spreader.Start(now))
+		c.spreadActions(now, "", c.spreader.Start(now))
 		c.force.start(now)
 	})
 	return c.loop.run(ctx)
@@ -132,7 +132,7 @@
 
 func (c *Control) tick(now time.Time) {
 	c.memberActions(now, c.members.Tick(now))
-	c.spreadActions(now, c.spreader.Tick(now))
+	c.spreadActions(now, "", c.spreader.Tick(now))
 	c.force.tick(now)
 }
 
@@ -200,13 +200,13 @@
 	case bfmember.Message:
 		c.memberActions(now, c.members.Receive(now, from, message))
 	case bfspread.Message:
-		c.spreadActions(now, c.spreader.Receive(now, c.peers[from], message))
+		c.spreadActions(now, from, c.spreader.Receive(now, c.peers[from], message))
 	}
 }
 
 // Committed tells of a version that this node's commit made.
 func (c *Control) Committed(ctx context.Context, delta []byte) error {
-	return c.loop.ask(ctx, func(now time.Time) { c.spreadActions(now, c.spreader.Committed(now, delta)) })
+	return c.loop.ask(ctx, func(now time.Time) { c.spreadActions(now, "", c.spreader.Committed(now, delta)) })
 }
 
 // Census asks the whole fleet what is in force.
@@ -215,7 +215,7 @@
 	err := c.loop.ask(ctx, func(now time.Time) {
 		id, actions := c.spreader.Census(now, wait)
 		c.census[id] = func(t bfspread.Tally) { answer <- t }
-		c.spreadActions(now, actions)
+		c.spreadActions(now, "", actions)
 	})
 	if err != nil {
 		return bfspread.Tally{}, err
@@ -259,7 +259,7 @@
 			c.send(a.Address, memberPurpose(a.Message), data, err)
 		case bfmember.Heard:
 			c.heard[a.From] = heardHead{bfconfig.Version(a.Advert.Version), now}
-			c.spreadActions(now, c.spreader.Heard(now, a.From, bfspread.Head{
+			c.spreadActions(now, "", c.spreader.Heard(now, a.From, bfspread.Head{
 				Version: bfconfig.Version(a.Advert.Version), Digest: a.Advert.Digest,
 			}))
 		case bfmember.Changed:
@@ -295,12 +295,18 @@
 	}
 }
 
-func (c *Control) spreadActions(now time.Time, actions []bfspread.Action) {
+// spreadActions carries out what the spreader decided on a message that came from an address, if it was one.
+func (c *Control) spreadActions(now time.Time, from string, actions []bfspread.Action) {
 	for _, action := range actions {
 		switch a := action.(type) {
 		case bfspread.Send:
 			data, err := bfspread.Encode(a.Message)
-			c.send(a.Address, spreadPurpose(a.Message), data, err)
+			address := a.Address
+			if address == "" {
+				// The asker is not in this node's view yet.
+				address = from
+			}
+			c.send(address, spreadPurpose(a.Message), data, err)
 		case bfspread.ReadHead:
 			c.readHead()
 		case bfspread.FetchDeltas:
--- a/lib/bfcontrol/platform.go
+++ b/lib/bfcontrol/platform.go
@@ -77,7 +77,7 @@
 		return headRead{version: head.Version, err: err}
 	}, func(now time.Time, h headRead) {
 		c.force.headRead(now, h.version, h.err)
-		c.spreadActions(now, c.spreader.HeadRead(now, h.version, h.err))
+		c.spreadActions(now, "", c.spreader.HeadRead(now, h.version, h.err))
 	})
 }
 
@@ -97,7 +97,7 @@
 		read.err = err
 		return read
 	}, func(now time.Time, d deltasRead) {
-		c.spreadActions(now, c.spreader.StoreDeltas(now, d.deltas, d.err))
+		c.spreadActions(now, "", c.spreader.StoreDeltas(now, d.deltas, d.err))
 	})
 }
 
@@ -122,6 +122,6 @@
 		data, err := state.EncodeSnapshot()
 		return snapshotRead{version: state.Version(), data: data, err: err}
 	}, func(now time.Time, s snapshotRead) {
-		c.spreadActions(now, c.spreader.StoreSnapshot(now, s.version, s.data, s.err))
+		c.spreadActions(now, "", c.spreader.StoreSnapshot(now, s.version, s.data, s.err))
 	})
 }
--- a/lib/bfguard/guard.go
+++ b/lib/bfguard/guard.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bilberryflow.org/lib/bfadmit"
+	"bilberryflow.org/lib/bfdirectory"
 	"bilberryflow.org/lib/bfforward"
 	"bilberryflow.org/lib/bfhop"
 	"bilberryflow.org/lib/bflog"
@@ -16,6 +17,7 @@
 	"bilberryflow.org/lib/bfmetric"
 	"bilberryflow.org/lib/bfrecord"
 	"bilberryflow.org/lib/bfroute"
+	"bilberryflow.org/lib/bfstore"
 	"bilberryflow.org/lib/bftimer"
 )
 
@@ -34,6 +36,11 @@
 	Timer   *bftimer.Service
 	Logger  *bflog.Logger
 	Metrics *bfmetric.Registry
+	// Table, Directory, Resolver and Spawn serve the claims of callers' keys.
+	Table     bfstore.Table
+	Directory *bfdirectory.Directory
+	Resolver  Resolver
+	Spawn     func(name string, fn func(ctx context.Context) error)
 	// Tell tells the fleet of a change of the target's state.
 	Tell func(state bfmember.TargetState, slots int)
 }
@@ -43,6 +50,7 @@
 	parts  Parts
 	books  *bfrecord.Sharded
 	target local
+	claims *claims
 	// limiter admits to the present target; nil before one has announced itself.
 	limiter  atomic.Pointer[bfadmit.Limiter]
 	inFlight atomic.Int64
@@ -69,6 +77,7 @@
 	g := &Guard{
 		parts: parts, books: bfrecord.NewSharded(parts.Home, bfrecord.DefaultLimits(), bookShards),
 		target:  local{service: parts.Service, coldStart: parts.ColdStart},
+		claims:  newClaims(parts),
 		latency: parts.Metrics.Family("target_latency_by_class"),
 		refused: parts.Metrics.Counter("guard_refused"),
 		unknown: parts.Metrics.Counter("guard_outcome_unknown"),
--- a/lib/bfguard/serve.go
+++ b/lib/bfguard/serve.go
@@ -35,6 +35,10 @@
 	body    []byte
 	status  Status
 	arrived time.Time
+	// sentTo is the incarnation that the entry named.
+	sentTo bfrecord.Home
+	// ran is the end of the run, nil if the request was not handed to the target.
+	ran bfrecord.Answer
 	// cut says that part of an answer was handed on and the rest will not come.
 	cut bool
 }
@@ -54,8 +58,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	sentTo := meta.Home
 	meta.Home = g.ownHome(meta.Home)
-	v := &visit{guard: g, w: w, r: r, meta: meta, status: g.Status(now), arrived: now}
+	v := &visit{guard: g, w: w, r: r, meta: meta, sentTo: sentTo, status: g.Status(now), arrived: now}
 	if v.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody)); err != nil {
 		// The request did not come whole, so no record of it is made.
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -82,7 +87,7 @@
 	case bfrecord.StillRunning:
 		bfhop.WriteBusy(v.w, v.meta.ID)
 	default:
-		refusal, isRefusal := bfrecord.NewVerdictRefusal(v.meta.ID, g.parts.Home, verdict)
+		refusal, isRefusal := bfrecord.NewVerdictRefusal(v.meta.ID, v.sentTo, verdict)
 		if !isRefusal {
 			g.parts.Logger.Emit(bflog.InvariantBroken, slog.String("request", v.meta.ID.String()))
 		}
@@ -109,17 +114,26 @@
 	}
 }
 
-// abort ends a request that was never handed to the target, for good.
-func (v *visit) abort(reason bfrecord.Reason, retryAfter time.Duration) {
-	g := v.guard
-	if err := g.books.Abort(g.parts.Timer.Now(), v.meta.ID); err != nil {
-		g.parts.Logger.Emit(bflog.InvariantBroken, bflog.Err(err))
+// bar records that the request was never handed to the target and never will be.
+func (v *visit) bar() {
+	if err := v.guard.books.Abort(v.guard.parts.Timer.Now(), v.meta.ID); err != nil {
+		v.guard.parts.Logger.Emit(bflog.InvariantBroken, bflog.Err(err))
 	}
-	v.refuse(bfrecord.NewAbortRefusal(v.meta.ID, g.parts.Home, reason, retryAfter))
 }
 
+// abort bars the request and answers that it was not run.
+func (v *visit) abort(reason bfrecord.Reason, retryAfter time.Duration) {
+	v.bar()
+	refusal := bfrecord.NewAbortRefusal(v.meta.ID, v.guard.parts.Home, reason, retryAfter)
+	// The entry knows this process by the incarnation that it sent to.
+	refusal.Home = v.sentTo
+	v.refuse(refusal)
+}
+
+// finish records the end of a request that was handed to the target.
 func (v *visit) finish(answer bfrecord.Answer) {
 	g := v.guard
+	v.ran = answer
 	if err := g.books.Finish(g.parts.Timer.Now(), v.meta.ID, answer); err != nil {
 		g.parts.Logger.Emit(bflog.InvariantBroken, bflog.Err(err))
 	}
@@ -139,7 +153,12 @@
 		v.notAdmitted(err)
 		return
 	}
-	outcome := v.handOver(ctx)
+	var outcome bfadmit.Outcome
+	if v.needsClaim() {
+		outcome = v.handOverClaimed(ctx)
+	} else {
+		outcome = v.handOver(ctx)
+	}
 	if err := slot.Release(outcome); err != nil {
 		v.guard.parts.Logger.Emit(bflog.InvariantBroken, bflog.Err(err))
 	}
