Versions come into force only once witnesses have noted them

The control plane now runs bfrecover: a start asks the table and the witnesses, and a version held waits for a majority of witnesses. Two causes of a first node that never came into force were found by the demo and mended: the first node of a fleet waited a whole join timeout to learn that it is alone, and the start's patience ran while it could not ask anybody yet, so every older set counted as possible and bound for 130 s.

--- a/bftarget/internal/bfcommand/command.go
+++ b/bftarget/internal/bfcommand/command.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"expvar"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -29,6 +30,7 @@
 	Spread      float64             `json:"spread,omitempty" jsonschema:"minimum=0,maximum=1,description=Share by which service times vary."`
 	ColdStart   bfsettings.Duration `json:"coldStart,omitempty" jsonschema:"description=Time to reach the full rate after the start."`
 	LedgerSize  int                 `json:"ledgerSize,omitempty" jsonschema:"minimum=1,description=Requests that the ledger remembers."`
+	LogRuns     bool                `json:"logRuns,omitempty" jsonschema:"description=Log each run before it begins\\, with the caller's query parameter mark."`
 	StopTimeout bfsettings.Duration `json:"stopTimeout,omitempty" jsonschema:"description=Bound of a graceful stop."`
 }
 
@@ -65,6 +67,11 @@
 		ServiceTime: float64(s.ServiceTime.Std()) / float64(time.Millisecond), Spread: s.Spread,
 	}
 	target := bfworkload.New(s.Instance, s.Service, s.Slots, s.ColdStart.Std(), behaviour, ledger)
+	if s.LogRuns {
+		target.OnRun(func(id, key, mark string) {
+			logger.Emit(bflog.RunStarted, slog.String("request", id), slog.String("key", key), slog.String("mark", mark))
+		})
+	}
 	port, err := bfserver.Listen("target", s.Listen, routes(target, ledger), nil)
 	if err != nil {
 		return bfprogram.App{}, err
--- a/bftarget/internal/bfworkload/target.go
+++ b/bftarget/internal/bfworkload/target.go
@@ -67,6 +67,9 @@
 	behaviour atomic.Pointer[Behaviour]
 	leaving   atomic.Bool
 	ledger    *bfledger.Ledger
+	// onRun is told of each run before it begins, so that what was run is
+	// known after the process was killed too.
+	onRun func(id, key, mark string)
 
 	mu      sync.Mutex
 	history []observation
@@ -82,6 +85,9 @@
 	return t
 }
 
+// OnRun has fn told of each run before it begins; it must be set before the target serves.
+func (t *Target) OnRun(fn func(id, key, mark string)) { t.onRun = fn }
+
 // SetBehaviour changes how the target acts from now on.
 func (t *Target) SetBehaviour(b Behaviour) { t.behaviour.Store(&b) }
 
@@ -114,6 +120,9 @@
 		t.shed(w, id, key, "request cut")
 		return
 	}
+	if t.onRun != nil {
+		t.onRun(id, key, r.URL.Query().Get("mark"))
+	}
 	t.ledger.Record(id, key, func(run *bfledger.Run) { run.Started++ })
 	if err := t.work(r.Context(), r, behaviour); err != nil {
 		t.ledger.Record(id, key, func(run *bfledger.Run) { run.Cancelled++ })
--- a/bftrial/internal/bffleet/fleet.go
+++ b/bftrial/internal/bffleet/fleet.go
@@ -99,7 +99,7 @@
 	if f.platform, err = f.startProcess("bfplatform", "platform", file); err != nil {
 		return err
 	}
-	return f.await(f.platform, f.Platform()+"/debug/vars")
+	return f.Await(f.platform, f.Platform()+"/debug/vars")
 }
 
 // NodeSettings are those of bfnode that trials set.
@@ -159,7 +159,7 @@
 func (f *Fleet) AwaitNodes() error {
 	for _, name := range f.order {
 		node := f.nodes[name]
-		if err := f.await(node.Process, "http://"+node.settings.Listen.Operator+"/debug/vars"); err != nil {
+		if err := f.Await(node.Process, "http://"+node.settings.Listen.Operator+"/debug/vars"); err != nil {
 			return err
 		}
 	}
@@ -188,6 +188,7 @@
 	ServiceTime string  `json:"serviceTime,omitempty"`
 	Spread      float64 `json:"spread"`
 	ColdStart   string  `json:"coldStart,omitempty"`
+	LogRuns     bool    `json:"logRuns,omitempty"`
 	StopTimeout string  `json:"stopTimeout,omitempty"`
 }
 
@@ -212,14 +213,14 @@
 		return err
 	}
 	target.Process = process
-	return f.await(process, "http://"+target.address+"/ledger")
+	return f.Await(process, "http://"+target.address+"/ledger")
 }
 
 // Target finds the target beside an instance's node.
 func (f *Fleet) Target(instance string) *Target { return f.targets[instance] }
 
-// await polls a page until it answers.
-func (f *Fleet) await(process *Process, url string) error {
+// Await polls a page until it answers.
+func (f *Fleet) Await(process *Process, url string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	for {
--- a/bftrial/internal/bffleet/process.go
+++ b/bftrial/internal/bffleet/process.go
@@ -33,7 +33,8 @@
 
 // startProcess starts a program with a settings file; its log goes to directory.
 func (f *Fleet) startProcess(program, name, settings string) (*Process, error) {
-	log, err := os.Create(filepath.Join(f.directory, name+".log"))
+	const flags = os.O_CREATE | os.O_WRONLY | os.O_APPEND
+	log, err := os.OpenFile(filepath.Join(f.directory, name+".log"), flags, 0o600)
 	if err != nil {
 		return nil, &StartError{name, err}
 	}
--- a/lib/bfbackend/backend.go
+++ b/lib/bfbackend/backend.go
@@ -6,18 +6,38 @@
 
 	"bilberryflow.org/lib/bfcommit"
 	"bilberryflow.org/lib/bfconfig"
-	"bilberryflow.org/lib/bfcontrol"
 	"bilberryflow.org/lib/bfdirectory"
 	"bilberryflow.org/lib/bflog"
+	"bilberryflow.org/lib/bfmember"
 	"bilberryflow.org/lib/bfpeer"
 	"bilberryflow.org/lib/bfquery"
+	"bilberryflow.org/lib/bfroute"
+	"bilberryflow.org/lib/bfspread"
 	"bilberryflow.org/lib/bfstore"
 	"bilberryflow.org/lib/bftimer"
 )
 
+// Control is the node's control plane as commands need it.
+type Control interface {
+	// Self is the node's own name.
+	Self() string
+	// State is the newest version held.
+	State() *bfconfig.State
+	// View is the view in force, nil before the node has one.
+	View() *bfroute.View
+	// Order is the membership now.
+	Order() *bfmember.Order
+	// Heard tells the newest version each member was heard to hold, and how long ago.
+	Heard(ctx context.Context) (map[uint64]bfconfig.Version, map[uint64]time.Duration, error)
+	// Census asks the whole fleet what is in force.
+	Census(ctx context.Context, wait time.Duration) (bfspread.Tally, error)
+	// Committed tells of a version that this node's commit made.
+	Committed(ctx context.Context, delta []byte) error
+}
+
 // Parts is what a Backend works with.
 type Parts struct {
-	Control   *bfcontrol.Control
+	Control   Control
 	Table     bfstore.Table
 	Objects   bfstore.Objects
 	Directory *bfdirectory.Directory
--- a/lib/bfbackend/confirm.go
+++ b/lib/bfbackend/confirm.go
@@ -40,14 +40,13 @@
 
 // bind finds or writes which staged change the confirm is for.
 func (b *Backend) bind(ctx context.Context, name, confirmID string) (string, error) {
-	rows, err := b.parts.Table.Get(ctx, confirmKey(confirmID))
-	if err != nil {
-		return "", err
-	}
-	if rows[0].Revision != 0 {
-		return string(rows[0].Value), nil
+	if changeID, err := b.bound(ctx, confirmID); changeID != "" || err != nil {
+		return changeID, err
 	}
 	_, staged, err := b.named(ctx, name)
+	if isNotStaged(err) {
+		return b.boundMeanwhile(ctx, name, confirmID)
+	}
 	if err != nil {
 		return "", err
 	}
@@ -62,6 +61,29 @@
 	return staged.ID(), err
 }
 
+// bound is the change that the confirm was for, empty if it is not known yet.
+func (b *Backend) bound(ctx context.Context, confirmID string) (string, error) {
+	rows, err := b.parts.Table.Get(ctx, confirmKey(confirmID))
+	if err != nil {
+		return "", err
+	}
+	return string(rows[0].Value), nil
+}
+
+// boundMeanwhile looks again once the name was found gone.
+//
+// The same confirm, sent through another node, may have bound and committed the
+// change between the two reads. To say "not staged" then would tell the operator
+// that nothing happened while a version exists. Its row was written before the
+// commit that freed the name, so a read from now on can't miss it.
+func (b *Backend) boundMeanwhile(ctx context.Context, name, confirmID string) (string, error) {
+	changeID, err := b.bound(ctx, confirmID)
+	if changeID == "" && err == nil {
+		err = &bfquery.NotStagedError{Name: name}
+	}
+	return changeID, err
+}
+
 func (b *Backend) told(ctx context.Context, name, confirmID, author string, outcome bfcommit.Outcome) (bfquery.ConfirmOutcome, error) {
 	switch o := outcome.(type) {
 	case bfcommit.Committed:
--- a/lib/bfcontrol/control.go
+++ b/lib/bfcontrol/control.go
@@ -61,9 +61,14 @@
 	census map[uint32]func(bfspread.Tally)
 	cold   map[string]coldTarget
 
+	// undecodable counts datagrams that are no message of this version.
+	undecodable *bfmetric.Counter
+
 	view    atomic.Pointer[bfroute.View]
 	state   atomic.Pointer[bfconfig.State]
 	inForce atomic.Uint64
+	// inForceSince is when that version came into force, in microseconds since 1970.
+	inForceSince atomic.Int64
 }
 
 type heardHead struct {
@@ -84,6 +89,7 @@
 		peers:    map[string]uint64{}, heard: map[uint64]heardHead{},
 		census: map[uint32]func(bfspread.Tally){}, cold: map[string]coldTarget{},
 	}
+	c.undecodable = parts.Metrics.Counter("control_undecodable")
 	c.force = newForce(c)
 	c.state.Store(bfconfig.Empty())
 	c.loop.next = c.next
@@ -91,6 +97,7 @@
 	c.loop.after = c.after
 	parts.Metrics.Gauge("config_version_held", func() int64 { return int64(c.state.Load().Version()) })
 	parts.Metrics.Gauge("config_version_in_force", func() int64 { return int64(c.inForce.Load()) })
+	parts.Metrics.Gauge("config_in_force_since_us", c.inForceSince.Load)
 	parts.Metrics.Gauge("members", func() int64 { return int64(c.members.Order().Len()) })
 	return c, nil
 }
@@ -115,7 +122,7 @@
 	c.loop.post(ctx, func(now time.Time) {
 		c.memberActions(now, c.members.Start(now, c.parts.Seeds))
 		c.spreadActions(now, "", c.spreader.Start(now))
-		c.force.start(now)
+		c.force.begin(now)
 	})
 	return c.loop.run(ctx)
 }
@@ -150,7 +157,7 @@
 		c.peers[member.Row().Peer] = member.Key().Hash
 	}
 	c.swapDirectory(now, order)
-	c.force.membersChanged(now, order)
+	c.force.membersChanged(now)
 }
 
 // async runs fn off the loop and its result on it.
@@ -169,6 +176,9 @@
 // receive takes one datagram.
 func (c *Control) receive(from netip.AddrPort, data []byte) bfpeer.Purpose {
 	purpose, message := c.decode(data)
+	if message == nil {
+		c.undecodable.Add(1)
+	}
 	if message != nil {
 		c.loop.post(c.parts.Group.Context(), func(now time.Time) { c.dispatch(now, from.String(), message) })
 	}
@@ -184,6 +194,9 @@
 	case bfspread.Owns(data):
 		message, err := bfspread.Decode(data)
 		return spreadPurpose(message), orNil(message, err)
+	case ownsWitness(data):
+		message, err := decodeWitness(data)
+		return bfpeer.Witness, orNil(message, err)
 	}
 	return bfpeer.Membership, nil
 }
@@ -199,6 +212,8 @@
 	switch message := message.(type) {
 	case bfmember.Message:
 		c.memberActions(now, c.members.Receive(now, from, message))
+	case witnessMessage:
+		c.force.receive(now, from, message)
 	case bfspread.Message:
 		c.spreadActions(now, from, c.spreader.Receive(now, c.peers[from], message))
 	}
@@ -269,7 +284,7 @@
 			c.parts.Logger.Emit(bflog.SelfRefuted, slog.String("told", a.Told.State.String()),
 				slog.Bool("newIncarnation", a.Told.Incarnation != a.Self.Incarnation))
 		case bfmember.Joined:
-			c.force.joined(now)
+			c.joined(now)
 		case bfmember.ReadMeeting:
 			c.readMeeting()
 		case bfmember.WriteMeeting:
@@ -280,6 +295,12 @@
 	}
 }
 
+// joined tells recovery of the whole membership; the order comes to it first.
+func (c *Control) joined(now time.Time) {
+	c.after(now)
+	c.force.joinedFleet(now)
+}
+
 func (c *Control) logMember(a bfmember.Changed) {
 	instance := slog.String("member", a.New.ID)
 	switch {
@@ -342,5 +363,5 @@
 	c.state.Store(state)
 	head := bfspread.HeadOf(state)
 	c.members.SetAdvert(uint64(head.Version), head.Digest)
-	c.force.held(now, state)
+	c.force.holds(now, state)
 }
--- a/lib/bfcontrol/platform.go
+++ b/lib/bfcontrol/platform.go
@@ -43,6 +43,7 @@
 		}
 		return meetings{rows: found}
 	}, func(now time.Time, m meetings) {
+		c.force.metAt(m.rows)
 		c.memberActions(now, c.members.MeetingRead(now, m.rows, m.err))
 	})
 }
--- /dev/null
+++ b/lib/bfcontrol/witness.go
@@ -0,0 +1,61 @@
+package bfcontrol
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"bilberryflow.org/lib/bfpeer"
+	"bilberryflow.org/lib/bfrecover"
+)
+
+// The first byte of a witness's message names its form; 32 to 47 are this file's.
+const (
+	kindNote byte = iota + 32
+	kindNoteAck
+	kindQuestion
+	kindAnswer
+	kindWitnessLimit = 48
+)
+
+// witnessMessage is a decoded message of bfrecover.
+type witnessMessage struct{ body any }
+
+func ownsWitness(data []byte) bool { return data[0] >= kindNote && data[0] < kindWitnessLimit }
+
+// sendWitness sends a message of bfrecover; a lost one is sent again by its core.
+func (c *Control) sendWitness(address string, message any) {
+	var kind byte
+	switch message.(type) {
+	case bfrecover.Note:
+		kind = kindNote
+	case bfrecover.Ack:
+		kind = kindNoteAck
+	case bfrecover.Question:
+		kind = kindQuestion
+	case bfrecover.Answer:
+		kind = kindAnswer
+	}
+	body, err := cbor.Marshal(message)
+	c.send(address, bfpeer.Witness, append([]byte{kind}, body...), err)
+}
+
+func decodeWitness(data []byte) (any, error) {
+	switch data[0] {
+	case kindNote:
+		return decodeWitnessAs[bfrecover.Note](data)
+	case kindNoteAck:
+		return decodeWitnessAs[bfrecover.Ack](data)
+	case kindQuestion:
+		return decodeWitnessAs[bfrecover.Question](data)
+	case kindAnswer:
+		return decodeWitnessAs[bfrecover.Answer](data)
+	}
+	return nil, fmt.Errorf("form %d unknown", data[0])
+}
+
+func decodeWitnessAs[M any](data []byte) (any, error) {
+	var m M
+	err := cbor.Unmarshal(data[1:], &m)
+	return witnessMessage{body: m}, err
+}
--- a/lib/bflog/events.go
+++ b/lib/bflog/events.go
@@ -41,6 +41,7 @@
 	TargetSilent     = declare(4003, slog.LevelWarn, "target's heartbeat stopped", "Check the target; it gets no new work.")
 	OutcomeUnknown   = declare(4004, slog.LevelWarn, "outcome of a request unknown", "The caller was told so; find the request by its ID at the target.")
 	ClaimNotSettled  = declare(4006, slog.LevelWarn, "end of a claimed key not recorded", "A resend with that key is told that the outcome is unknown.")
+	RunStarted       = declare(4007, slog.LevelInfo, "run begins at the stand-in target", "Nothing; it is the ledger that outlives the process.")
 	ConnectionSilent = declare(4005, slog.LevelWarn, "connection went silent", "Nothing; it was replaced and its requests resolved.")
 )
 
