The frozen node's test waits until the fleet holds it dead

It passed without the safeguard it is for (requests sent to the new incarnation are this process's own): a suspicion was enough for its condition, and that changes no incarnation.

--- a/bftrial/internal/bfproof/config_test.go
+++ b/bftrial/internal/bfproof/config_test.go
@@ -141,7 +141,7 @@
 	s.end()
 }
 
-// A node is frozen for longer than every timeout while versions pass by, and
+// A node is frozen until the fleet holds it dead, while versions pass by, and
 // wakes with old messages in its sockets. It must neither go back nor take the
 // fleet back, catch up by itself, and serve callers again.
 func TestFrozenNodeWakesAndCatchesUp(t *testing.T) {
@@ -153,7 +153,7 @@
 	}
 	w.eventually(func() bool {
 		said, err := w.Command(w.Nodes()[0], "show members where instance = n4")
-		return err == nil && !strings.Contains(said.Output, "alive")
+		return err == nil && !strings.Contains(said.Output, "alive") && !strings.Contains(said.Output, "suspect")
 	})
 	w.is.NoErr(w.Node("n4").Signal(syscall.SIGCONT))
 	w.is.NoErr(w.AwaitVersion(4, limit))
