--- a/lib/bfcaller/death_test.go
+++ b/lib/bfcaller/death_test.go
@@ -91,6 +91,7 @@
 // silent, the one for questions too. New connections work. The callers get
 // their answers through them, and no nomination runs twice; the same where the
 // connections were silent before the requests were written, and never arrive.
+// Later requests do not meet the silent connections again.
 func TestSilentConnections(t *testing.T) {
 	for _, protocol := range []bfforward.Protocol{bfforward.HTTP1, bfforward.HTTP2} {
 		for _, arrives := range []bool{true, false} {
@@ -119,6 +120,10 @@
 				wait(is, answers)
 				is.Equal(w.ran("order 0"), 1)
 				is.Equal(w.ran("order 1"), 1)
+				asked := entry.metrics.Counter("entry_resolves")
+				before := asked.Value()
+				is.Equal(entry.ask("GET", lookUp, "next").outcome, bfheader.OutcomeDone)
+				is.Equal(asked.Value(), before) // it went over a new connection
 			})
 		}
 	}
--- a/lib/bfcaller/keys_test.go
+++ b/lib/bfcaller/keys_test.go
@@ -8,10 +8,12 @@
 	"net/url"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"bilberryflow.org/lib/bfcaller"
+	"bilberryflow.org/lib/bfconfig"
 	"bilberryflow.org/lib/bfforward"
 	"bilberryflow.org/lib/bfheader"
 )
@@ -175,6 +177,9 @@
 	for _, protocol := range []bfforward.Protocol{bfforward.HTTP1, bfforward.HTTP2} {
 		is := is.New(t)
 		w, entry := newEntry(t, protocol, 1)
+		w.configure(func(policies map[string]*bfconfig.PolicySpec, _ *bfconfig.EventSpec) {
+			policies[approve].Deadline, policies[lookUp].Deadline = time.Minute, time.Minute
+		})
 		home := w.nodes[1]
 		home.target.slots = 1
 		home.announces(false)
--- a/lib/bfcaller/watch.go
+++ b/lib/bfcaller/watch.go
@@ -99,10 +99,16 @@
 // ask asks the home until it knows the end or there is no more time.
 //
 // The caller's own deadline may be over: whether its nomination ran is worth a
-// little more time than a look-up.
+// little more time than a look-up. A caller that went away hears nothing any more.
 func (s *sending) ask() bfrecord.Outcome {
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(s.caller), s.call.deadline.Add(resolveTime))
 	defer cancel()
+	stop := context.AfterFunc(s.caller, func() {
+		if errors.Is(s.caller.Err(), context.Canceled) {
+			cancel()
+		}
+	})
+	defer stop()
 	for {
 		pause := askPause
 		reply, err := s.question(ctx)
@@ -112,7 +118,7 @@
 			}
 			pause = 4 * askPause // it still runs
 		}
-		if errors.Is(s.caller.Err(), context.Canceled) || !s.call.pause(ctx, pause) {
+		if !s.call.pause(ctx, pause) {
 			return s.locked(s.giveUp)
 		}
 	}
--- a/lib/bfmember/detector.go
+++ b/lib/bfmember/detector.go
@@ -223,11 +223,6 @@
 	}
 	slices.Sort(over)
 	for _, hash := range over {
-		if member := m.table.present(hash); member != nil && member.lost {
-			// Its whole domain is out of reach and may come back as a whole.
-			m.detector.suspicion[hash] = now.Add(m.options.suspicion(m.fleet()))
-			continue
-		}
 		delete(m.detector.suspicion, hash)
 		if row, found := m.table.row(hash); found && row.State == Suspect {
 			row.State = Dead
--- a/lib/bfmember/fleet_test.go
+++ b/lib/bfmember/fleet_test.go
@@ -210,3 +210,13 @@
 }
 
 func allAlive(Row) State { return Alive }
+
+// allSee reports whether each node that is up holds exactly so many members alive.
+func (f *fleet) allSee(alive int) bool {
+	for _, n := range f.nodes {
+		if !n.down && !n.frozen && n.core.Order().Alive() != alive {
+			return false
+		}
+	}
+	return true
+}
--- a/lib/bfmember/gossip.go
+++ b/lib/bfmember/gossip.go
@@ -40,8 +40,7 @@
 			break
 		}
 		row, found := t.row(c.hash)
-		// The outage of the whole domain says more in less.
-		if !found || row.State == Suspect && t.lost[domainOf(&row)] {
+		if !found {
 			delete(g.changes, c.hash)
 			continue
 		}
--- a/lib/bfmember/members.go
+++ b/lib/bfmember/members.go
@@ -218,6 +218,9 @@
 		m.refute(now, row)
 		return
 	}
+	if m.shielded(row) {
+		return
+	}
 	result, old := m.table.merge(now, row)
 	switch result {
 	case stale:
--- a/lib/bfmember/members_test.go
+++ b/lib/bfmember/members_test.go
@@ -240,6 +240,57 @@
 	is.True(f.agree(allAlive))
 }
 
+// A whole domain loses its network for ten minutes and comes back. Callers must
+// be kept from all of it within seconds, and find all of it again within a
+// minute of its return; nearly no member may be declared dead for it, or the
+// refutations of a domain's members would fill the control budget of minutes.
+func TestLostDomainIsOneRecordAndComesBack(t *testing.T) {
+	is := is.New(t)
+	f := full(41, Convergence(), 120, 4)
+	lost := func(n *node) bool { return n.core.Self().Domain == "wien-domain-02" }
+	started := f.now.UnixMicro()
+	f.run(5 * time.Second)
+	f.cut = func(a, b *node) bool { return lost(a) != lost(b) }
+	f.run(15 * time.Second)
+	for _, n := range f.nodes {
+		if !lost(n) {
+			is.Equal(n.core.Order().Alive(), 90)
+		}
+	}
+	f.run(10 * time.Minute)
+	f.cut = nil
+	f.run(time.Minute)
+	is.True(f.allSee(120))
+	reborn := 0
+	for _, n := range f.nodes {
+		if n.core.Self().Incarnation > uint64(started)+uint64(len(f.nodes)) {
+			reborn++
+		}
+	}
+	t.Logf("%d of 120 members had to refute their death", reborn)
+	is.True(reborn < 20)
+}
+
+// Half of a domain dies at once. The outage of the whole may be declared in
+// error, since most members probed don't answer; the first living one that is
+// heard from must end it, and the dead alone stay away.
+func TestHalfOfADomainIsNotTheWhole(t *testing.T) {
+	is := is.New(t)
+	f := full(43, Convergence(), 120, 3)
+	f.run(5 * time.Second)
+	for i, n := range f.nodes {
+		n.down = i%3 == 1 && i%2 == 0
+	}
+	f.run(90 * time.Second)
+	want := func(row Row) State {
+		if f.byPeer[row.Peer].down {
+			return Dead
+		}
+		return Alive
+	}
+	is.True(f.agree(want))
+}
+
 // A node leaves gracefully: the others hear so within seconds, nobody suspects
 // it, and it never comes back by its own old news.
 func TestLeavingIsToldAndFinal(t *testing.T) {
--- a/lib/bfmember/outage.go
+++ b/lib/bfmember/outage.go
@@ -41,8 +41,10 @@
 const (
 	// minOutage is the smallest domain that is told as a whole.
 	minOutage = 24
-	// outageSuspects members must be suspected before a domain is checked.
-	outageSuspects = 12
+	// outageSuspects members must be suspected, or dead of late, before a domain is checked.
+	outageSuspects = 5
+	// outageRecent is how long a death counts towards an outage.
+	outageRecent = time.Minute
 	// outageProbes more members, drawn by chance, must all fail to answer.
 	outageProbes = 3
 	// outageHold is how long after its return a domain is not declared lost again.
@@ -124,7 +126,8 @@
 	}
 	members := m.table.inDomain(domain)
 	alive := slices.DeleteFunc(slices.Clone(members), func(member *Member) bool { return !member.Alive() })
-	if len(members) < minOutage || len(members)-len(alive) < outageSuspects {
+	dead := m.deadOfLate(now, domain)
+	if len(members)+dead < minOutage || len(members)-len(alive)+dead < outageSuspects {
 		return
 	}
 	m.outages.checks[domain] = &outageCheck{}
@@ -137,6 +140,30 @@
 	}
 }
 
+func (m *Members) deadOfLate(now time.Time, domain domainKey) int {
+	count := 0
+	for _, e := range m.table.entries {
+		row := &e.member.row
+		if row.State == Dead && now.Sub(e.since) < outageRecent && domainOf(row) == domain {
+			count++
+		}
+	}
+	return count
+}
+
+// shielded reports whether news of a member is void while its domain is lost.
+//
+// Nobody can tell a dead member of a lost domain from a living one, and deaths
+// declared in error would each have to be refuted when the domain is back. A
+// true death is found again then.
+func (m *Members) shielded(row Row) bool {
+	if !m.table.lost[domainOf(&row)] {
+		return false
+	}
+	held, found := m.table.row(HashID(row.ID))
+	return found && held.Incarnation == row.Incarnation && (row.State == Suspect || row.State == Dead)
+}
+
 func (m *Members) recentContact(now time.Time, domain domainKey) bool {
 	at, found := m.outages.contact[domain]
 	return found && now.Sub(at) < 2*m.options.ProbeInterval
@@ -204,6 +231,9 @@
 		return
 	}
 	m.changed, m.lastChange = true, now
-	m.table.setLost(domain, o.Lost)
+	for _, hash := range m.table.setLost(domain, o.Lost) {
+		delete(m.detector.suspicion, hash)
+		delete(m.gossip.changes, hash)
+	}
 	m.do(DomainLost{Outage: o})
 }
--- a/lib/bfmember/table.go
+++ b/lib/bfmember/table.go
@@ -168,19 +168,31 @@
 	return t.sorted[low:high]
 }
 
-// setLost marks the members of a domain; orders in use keep the unmarked ones.
-func (t *table) setLost(domain domainKey, lost bool) {
+// setLost marks the members of a domain, and lists those whose suspicion it voids.
+//
+// Each node suspects others of a lost domain. Kept until the domain is back,
+// these suspicions would run out before their members could hear of them, and
+// the fleet would tell and refute a death for nearly each.
+func (t *table) setLost(domain domainKey, lost bool) []uint64 {
 	delete(t.lost, domain)
 	if lost {
 		t.lost[domain] = true
 	}
-	for i, old := range t.inDomain(domain) {
-		member := &Member{row: old.row, key: old.key, lost: lost}
+	var voided []uint64
+	members := t.inDomain(domain)
+	for i, old := range members {
 		hash := old.key.Hash
-		t.inDomain(domain)[i] = member
+		member := &Member{row: old.row, key: old.key, lost: lost}
+		if old.row.State == Suspect {
+			member.row.State = Alive
+			voided = append(voided, hash)
+		}
+		// Orders in use keep the unmarked member.
+		members[i] = member
 		t.entries[hash] = entry{member: member, since: t.entries[hash].since}
 		t.touched[hash] = true
 	}
+	return voided
 }
 
 // flip adds a member to the digests or takes it out again.
--- a/lib/bfrecover/rules_test.go
+++ b/lib/bfrecover/rules_test.go
@@ -177,6 +177,10 @@
 	s.now = s.now.Add(s.settings.Lapse + s.settings.Margin)
 	s.repeat("def")
 	s.is.Equal(s.gate.InForce(), bfconfig.Version(9))
+	for _, flapping := range []string{"ab", "bc", "cd", "de", "ef", "fa", "ac", "bd", "ce", "df"} {
+		s.reach("", s.gate.OnMembers(s.now, list(flapping)))
+	}
+	s.is.True(s.gate.Waiting() < 8) // a membership that flaps
 }
 
 // A witness must not count on the strength of old notes: one that arrives late
--- a/lib/bfspread/world_test.go
+++ b/lib/bfspread/world_test.go
@@ -63,6 +63,8 @@
 	wholes       int
 	pulls        int
 	pushes       int
+	fetches      int
+	given        int
 	sent, got    int
 	depth        int
 	tally        *Tally
@@ -164,6 +166,7 @@
 			w.reads++
 			w.later(n, func(now time.Time) []Action { return n.core.HeadRead(now, w.head(), w.answer()) })
 		case FetchDeltas:
+			n.fetches++
 			w.later(n, func(now time.Time) []Action { return n.core.StoreDeltas(now, w.deltas[a.After+1:], w.answer()) })
 		case FetchSnapshot:
 			n.wholes++
@@ -262,6 +265,8 @@
 		}
 	case Pull:
 		n.pulls++
+	case Snapshot:
+		n.given++
 	}
 }
 
