--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,12 @@
 
 spec:
 	@sh spec/check.sh
+
+# Rewrites the pages that are made from declarations.
+docs:
+	cd lib && go test ./bflog -run TestCatalogueIsCurrent -update
+	@for p in bfnode bfplatform bftarget; do (cd $$p && go test ./internal/bfcommand -run TestReferenceIsCurrent -update) || exit 1; done
+
+# Measures the control plane; takes some minutes and writes docs/figures.
+measure: build
+	$(BIN)/bftrial measure --binaries $(BIN)
--- a/bfnode/internal/bfcommand/settings.go
+++ b/bfnode/internal/bfcommand/settings.go
@@ -18,7 +18,7 @@
 	Service       string              `json:"service,omitempty" jsonschema:"maxLength=64,description=Service whose target runs beside the node; empty for none."`
 	Listen        Listen              `json:"listen" jsonschema:"description=Ports."`
 	Platform      Platform            `json:"platform" jsonschema:"description=The platform's table service and object store."`
-	Seeds         []string            `json:"seeds,omitempty" jsonschema:"description=Peer addresses of nodes to find the fleet by, beside the meeting rows in the table."`
+	Seeds         []string            `json:"seeds,omitempty" jsonschema:"description=Peer addresses of nodes to find the fleet by\\, beside the meeting rows in the table."`
 	Profile       string              `json:"profile,omitempty" jsonschema:"enum=convergence,enum=bytes,description=What control weighs more: convergence time or control bytes."`
 	Requests      Requests            `json:"requests,omitempty" jsonschema:"description=Limits of requests."`
 	Operators     []bfoperator.Token  `json:"operators,omitempty" jsonschema:"description=Who may send commands."`
@@ -34,7 +34,7 @@
 	Inbound  string `json:"inbound" jsonschema:"minLength=1,description=Port for requests from other nodes."`
 	Operator string `json:"operator" jsonschema:"minLength=1,description=Port for operators and metrics."`
 	Target   string `json:"target" jsonschema:"minLength=1,description=Port on which the target announces itself."`
-	Peer     string `json:"peer" jsonschema:"minLength=1,description=Port for the control plane, UDP and TCP; it must be an IP address with a number above 0."`
+	Peer     string `json:"peer" jsonschema:"minLength=1,description=Port for the control plane\\, UDP and TCP; it must be an IP address with a number above 0."`
 }
 
 // Platform says where the platform is.
--- a/lib/bfsettings/render.go
+++ b/lib/bfsettings/render.go
@@ -32,6 +32,10 @@
 			writeFields(page, name+".", field)
 			continue
 		}
+		if field.Items != nil && field.Items.Properties != nil {
+			writeFields(page, name+"[].", field.Items)
+			continue
+		}
 		fmt.Fprintf(page, "| `%s` | %s | %s |\n", name, form(field), field.Description)
 	}
 }
@@ -39,8 +43,12 @@
 // form says in words which values a field takes.
 func form(field *reflector.Schema) string {
 	parts := []string{field.Type}
-	if field.Pattern != "" {
+	switch field.Pattern {
+	case "":
+	case durationPattern:
 		parts[0] = "duration"
+	default:
+		parts = append(parts, "of the form `"+field.Pattern+"`")
 	}
 	if field.Minimum != "" {
 		parts = append(parts, "at least "+string(field.Minimum))
--- a/lib/bfsettings/settings.go
+++ b/lib/bfsettings/settings.go
@@ -57,9 +57,11 @@
 // MarshalText writes the form of time.Duration.
 func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
 
+const durationPattern = `^([0-9]+(\.[0-9]+)?(ns|us|ms|s|m|h))+$`
+
 // JSONSchema is the form allowed for a duration in a settings file.
 func (Duration) JSONSchema() *reflector.Schema {
-	return &reflector.Schema{Type: "string", Pattern: `^([0-9]+(\.[0-9]+)?(ns|us|ms|s|m|h))+$`}
+	return &reflector.Schema{Type: "string", Pattern: durationPattern}
 }
 
 // Load reads the file at path into settings, a pointer to a struct that already holds the defaults.
