--- a/lib/bfcontrol/force.go
+++ b/lib/bfcontrol/force.go
@@ -46,12 +46,8 @@
 }
 
 func newForce(c *Control) *force {
-	settings := bfrecover.DefaultSettings()
-	if !c.parts.Profile.NoteAtOnce {
-		settings.Mode = bfrecover.BytesFirst
-	}
 	return &force{
-		control: c, settings: settings, self: recoverMember(&c.parts.Self),
+		control: c, settings: c.parts.Profile.Recover, self: recoverMember(&c.parts.Self),
 		heartbeat: map[string]bfrecover.Note{},
 	}
 }
