--- a/bfctl/internal/bfcommand/command_test.go
+++ b/bfctl/internal/bfcommand/command_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/matryer/is"
 
+	"bilberryflow.org/lib/bfquery/bfgrammar"
 	"bilberryflow.org/lib/bfquery/bfresult"
 )
 
@@ -248,6 +249,18 @@
 	is.Equal(withoutAddresses(run.output.String(), addresses), "invalid: node-1 refused the token: unknown token\n")
 }
 
+// "bfctl help" is what the usage names for the commands. The parser of flags
+// takes a bare "help" for its own flag, and the operator read the usage again.
+func TestHelpListsTheCommands(t *testing.T) {
+	is := is.New(t)
+	run := newCall()
+	is.Equal(run.main("help"), 0)
+	is.Equal(run.output.String(), bfgrammar.HelpText("")+"\n")
+	run = newCall()
+	is.Equal(run.main("--node", "a", ""), 1)
+	is.Equal(run.output.String(), "bfctl: COMMAND: it is empty; \"bfctl help\" lists them\n")
+}
+
 // Wrong settings end with code 1 before anything is sent; scripts take 2 for a
 // command that a node refused.
 func TestWrongUsage(t *testing.T) {
--- a/bfctl/internal/bfcommand/pursuit.go
+++ b/bfctl/internal/bfcommand/pursuit.go
@@ -4,8 +4,8 @@
 	"errors"
 	"fmt"
 
-	"bilberryflow.org/lib/bfquery/bfgrammar"
 	"bilberryflow.org/lib/bfquery/bfresult"
+	"bilberryflow.org/lib/bfquery/bfsyntax"
 )
 
 // attempt is the sealed set of ends of one request to one node: notSent,
@@ -49,7 +49,7 @@
 
 // pursuit follows one command from node to node until its outcome is known.
 type pursuit struct {
-	command bfgrammar.Command
+	command bfsyntax.Command
 	// changeID is empty for commands that need none.
 	changeID string
 	// mayHaveRun is set once an attempt may have taken effect unseen.
@@ -72,7 +72,7 @@
 		return finish{results: []bfresult.Result{failure}, code: bfresult.ExitRefused}
 	case cut:
 		p.last = a.err
-		p.mayHaveRun = p.mayHaveRun || bfgrammar.Writes(p.command)
+		p.mayHaveRun = p.mayHaveRun || bfsyntax.Writes(p.command)
 		return p.tryOrGiveUp(more && p.repeatable())
 	case answered:
 		return p.afterAnswer(a, more)
@@ -87,14 +87,14 @@
 // second discard or drain could hit what another operator staged, or a target
 // that was replaced, under the same name in the meantime.
 func (p *pursuit) repeatable() bool {
-	return !bfgrammar.Writes(p.command) || bfgrammar.NeedsChangeID(p.command)
+	return !bfsyntax.Writes(p.command) || bfsyntax.NeedsChangeID(p.command)
 }
 
 // afterAnswer holds an answer against what earlier attempts may have done.
 func (p *pursuit) afterAnswer(a answered, more bool) verdict {
 	code := a.status.ExitCode()
 	if code == bfresult.ExitUnknown {
-		if !bfgrammar.Writes(p.command) || !more || !p.repeatable() {
+		if !bfsyntax.Writes(p.command) || !more || !p.repeatable() {
 			return finish{results: a.results, code: code}
 		}
 		p.mayHaveRun = true
@@ -123,7 +123,7 @@
 	case bfresult.StatusDone, bfresult.StatusConflict:
 		return true
 	case bfresult.StatusRefused:
-		_, isConfirm := p.command.(bfgrammar.Confirm)
+		_, isConfirm := p.command.(bfsyntax.Confirm)
 		return isConfirm
 	case bfresult.StatusNotAccepted, bfresult.StatusUnknown:
 	}
@@ -143,8 +143,8 @@
 
 func (p *pursuit) unknown() bfresult.Outcome {
 	summary := fmt.Sprintf("whether %q took effect is unknown (%v); ", p.command.String(), p.last)
-	if confirm, isConfirm := p.command.(bfgrammar.Confirm); isConfirm {
-		again := bfgrammar.Confirm{Name: confirm.Name, ChangeID: p.changeID}
+	if confirm, isConfirm := p.command.(bfsyntax.Confirm); isConfirm {
+		again := bfsyntax.Confirm{Name: confirm.Name, ChangeID: p.changeID}
 		summary += "it is safe to ask: " + again.String()
 	} else {
 		summary += "look at: " + p.whereToLook()
@@ -154,7 +154,7 @@
 
 // whereToLook is the command that shows whether this one took effect.
 func (p *pursuit) whereToLook() string {
-	if _, isDrain := p.command.(bfgrammar.Drain); isDrain {
+	if _, isDrain := p.command.(bfsyntax.Drain); isDrain {
 		return "show targets"
 	}
 	return "show staged"
--- a/bfctl/internal/bfcommand/run.go
+++ b/bfctl/internal/bfcommand/run.go
@@ -12,6 +12,7 @@
 
 	"bilberryflow.org/lib/bfquery/bfgrammar"
 	"bilberryflow.org/lib/bfquery/bfresult"
+	"bilberryflow.org/lib/bfquery/bfsyntax"
 	"bilberryflow.org/lib/bfrender"
 )
 
@@ -96,8 +97,8 @@
 	}
 }
 
-func (r *runner) runCommand(ctx context.Context, command bfgrammar.Command) (int, error) {
-	if help, isHelp := command.(bfgrammar.Help); isHelp {
+func (r *runner) runCommand(ctx context.Context, command bfsyntax.Command) (int, error) {
+	if help, isHelp := command.(bfsyntax.Help); isHelp {
 		return bfresult.ExitDone, r.show(bfresult.Message{Text: bfgrammar.HelpText(help.Topic)})
 	}
 	if err := r.connect(ctx); err != nil {
@@ -105,7 +106,7 @@
 	}
 	request := bfresult.CommandRequest{Commands: command.String(), Author: r.env.Getenv("USER")}
 	p := &pursuit{command: command}
-	if bfgrammar.NeedsChangeID(command) {
+	if bfsyntax.NeedsChangeID(command) {
 		p.changeID = r.changeID(command)
 		request.ChangeIDs = []string{p.changeID}
 	}
@@ -119,8 +120,8 @@
 }
 
 // changeID is the one the operator gave, or a new one.
-func (r *runner) changeID(command bfgrammar.Command) string {
-	if confirm, isConfirm := command.(bfgrammar.Confirm); isConfirm && confirm.ChangeID != "" {
+func (r *runner) changeID(command bfsyntax.Command) string {
+	if confirm, isConfirm := command.(bfsyntax.Confirm); isConfirm && confirm.ChangeID != "" {
 		return confirm.ChangeID
 	}
 	return r.env.MintID()
@@ -142,13 +143,13 @@
 }
 
 // timeoutFor allows a watch its own length beside the answer's.
-func (r *runner) timeoutFor(command bfgrammar.Command) time.Duration {
-	watch, isWatch := command.(bfgrammar.Watch)
+func (r *runner) timeoutFor(command bfsyntax.Command) time.Duration {
+	watch, isWatch := command.(bfsyntax.Watch)
 	switch {
 	case !isWatch:
 		return r.timeout
 	case watch.For == 0:
-		return r.timeout + bfgrammar.UsualWatch
+		return r.timeout + bfsyntax.UsualWatch
 	}
 	return r.timeout + watch.For
 }
--- a/bfctl/internal/bfcommand/settings.go
+++ b/bfctl/internal/bfcommand/settings.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"time"
 
@@ -112,19 +113,37 @@
 			err = exitOf(value)
 		}
 	}()
-	if err := parser.ParseArgs(args); err != nil {
+	if err := parser.ParseArgs(withoutFlagNames(args)); err != nil {
 		return arguments{}, &UsageError{Setting: "arguments", Reason: err.Error()}
 	}
 	return a, nil
 }
 
-// exitOf reads the parser's panic; the parser also panics on an empty argument.
+// withoutFlagNames keeps the command "help" for the nodes' language: the parser
+// compares bare words with the names of its own flags too, and would show its
+// usage instead of the commands. Commands may have spaces around them.
+func withoutFlagNames(args []string) []string {
+	list := slices.Clone(args)
+	for i, arg := range list {
+		if arg == "help" || arg == "h" || arg == "version" {
+			list[i] = arg + " "
+		}
+	}
+	return list
+}
+
+// emptyArgument is what the parser panics with on an empty command.
+const emptyArgument = "can't add parsed value with no key or value"
+
+// exitOf reads the parser's panic.
 func exitOf(value any) error {
 	text, isText := value.(string)
 	if !isText {
 		panic(value)
 	}
 	switch code, isExit := strings.CutPrefix(text, "Panic instead of exit with code: "); {
+	case text == emptyArgument:
+		return &UsageError{Setting: "COMMAND", Reason: `it is empty; "bfctl help" lists them`}
 	case !isExit:
 		return &UsageError{Setting: "arguments", Reason: text}
 	case code == "0":
--- a/bftarget/internal/bfworkload/target.go
+++ b/bftarget/internal/bfworkload/target.go
@@ -41,6 +41,9 @@
 	HealthLag int64 `json:"healthLagMs"`
 	// CutAfter breaks answers after that many bytes of body; 0 never does.
 	CutAfter int `json:"cutAfter"`
+	// QueueAll has requests wait for a slot without bound and run to their end
+	// even when their callers have gone, as a target without admission does.
+	QueueAll bool `json:"queueAll"`
 }
 
 // Validate finds a behaviour that can't be.
@@ -102,19 +105,18 @@
 
 // ServeHTTP runs one request.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
 	behaviour := t.Behaviour()
 	id, key := r.Header.Get(bfheader.RequestID), r.Header.Get(bfheader.IdempotencyKey)
 	if t.leaving.Load() || behaviour.Shed {
 		t.shed(w, id, key, "shed")
 		return
 	}
-	select {
-	case t.slots <- struct{}{}:
-		defer func() { <-t.slots }()
-	default:
+	if !t.takeSlot(behaviour) {
 		t.shed(w, id, key, "no slot")
 		return
 	}
+	defer func() { <-t.slots }()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		t.shed(w, id, key, "request cut")
@@ -124,15 +126,39 @@
 		t.onRun(id, key, r.URL.Query().Get("mark"))
 	}
 	t.ledger.Record(id, key, func(run *bfledger.Run) { run.Started++ })
-	if err := t.work(r.Context(), r, behaviour); err != nil {
+	ctx := r.Context()
+	if behaviour.QueueAll {
+		ctx = context.WithoutCancel(ctx)
+	}
+	if err := t.work(ctx, r, behaviour); err != nil {
 		t.ledger.Record(id, key, func(run *bfledger.Run) { run.Cancelled++ })
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
 	t.ledger.Record(id, key, func(run *bfledger.Run) { run.Finished++ })
+	writeTiming(w.Header(), time.Since(arrived))
 	t.answer(w, r, id, body, behaviour)
 }
 
+// takeSlot takes one of the slots; false means that the request is shed.
+func (t *Target) takeSlot(behaviour Behaviour) bool {
+	if behaviour.QueueAll {
+		t.slots <- struct{}{}
+		return true
+	}
+	select {
+	case t.slots <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+// writeTiming tells how long the target itself took, by the standard header Server-Timing.
+func writeTiming(header http.Header, took time.Duration) {
+	header.Set("Server-Timing", fmt.Sprintf("target;dur=%.3f", took.Seconds()*1000))
+}
+
 func (t *Target) shed(w http.ResponseWriter, id, key, reason string) {
 	t.ledger.Record(id, key, func(run *bfledger.Run) { run.Shed++ })
 	w.Header().Set(bfheader.Outcome, bfheader.OutcomeNotRun)
--- a/bftrial/internal/bfcommand/command.go
+++ b/bftrial/internal/bfcommand/command.go
@@ -12,6 +12,7 @@
 
 	"bilberryflow.org/bftrial/internal/bfdemo"
 	"bilberryflow.org/bftrial/internal/bfmeasure"
+	"bilberryflow.org/bftrial/internal/bfspike"
 	"bilberryflow.org/lib/bfprogram"
 )
 
@@ -31,6 +32,10 @@
 	idle      time.Duration
 	changes   int
 	objects   int
+	shape     string
+	fault     string
+	seconds   int
+	service   time.Duration
 }
 
 // Main runs one subcommand and returns the exit code.
@@ -38,6 +43,7 @@
 	a := arguments{
 		binaries: "bin", directory: "docs/figures", nodes: "10,30,100,200", profiles: "convergence,bytes",
 		idle: 20 * time.Second, changes: 20, objects: 100,
+		shape: "vienna", fault: "none", seconds: 10, service: 200 * time.Millisecond,
 	}
 	parser := flaggy.NewParser("bftrial")
 	parser.Description = "Runs the demo and the measurements with real processes on loopback."
@@ -53,7 +59,15 @@
 	measure.Duration(&a.idle, "i", "idle", "Time without a change.")
 	measure.Int(&a.changes, "c", "changes", "Changes to commit.")
 	measure.Int(&a.objects, "j", "objects", "Routes in the configuration.")
+	spike := flaggy.NewSubcommand("spike")
+	spike.Description = "Measures the request policy at an event's start, beside callers without any."
+	spike.String(&a.directory, "o", "out", "Directory for the CSV and the plot.")
+	spike.String(&a.shape, "s", "shape", "Shape of the fleet: vienna or hobart.")
+	spike.String(&a.fault, "f", "fault", "Fault of one target in the spike: none, lost, slow or lying.")
+	spike.Int(&a.seconds, "t", "seconds", "Length of the spike; the run lasts about eight times as long.")
+	spike.Duration(&a.service, "w", "service-time", "Mean time of a request at a target.")
 	parser.AttachSubcommand(demo, 1)
+	parser.AttachSubcommand(spike, 1)
 	parser.AttachSubcommand(measure, 1)
 	if err := parser.ParseArgs(args); err != nil {
 		fmt.Fprintln(errOut, "bftrial:", err)
@@ -65,6 +79,11 @@
 		err = bfdemo.Run(a.binaries, out)
 	case measure.Used:
 		err = a.measure(out)
+	case spike.Used:
+		err = bfspike.Run(bfspike.Options{
+			Binaries: a.binaries, Shape: a.shape, Fault: a.fault, Out: a.directory,
+			Spike: time.Duration(a.seconds) * time.Second, ServiceTime: a.service,
+		}, out)
 	default:
 		fmt.Fprintln(errOut, "bftrial: a subcommand is needed; see --help")
 		return exitUsage
--- /dev/null
+++ b/bftrial/internal/bfspike/machine.go
@@ -0,0 +1,81 @@
+package bfspike
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+)
+
+// machine samples how busy the whole machine is, other work on it included.
+type machine struct{ shares [phases]float64 }
+
+func newMachine() *machine { return &machine{} }
+
+// watch measures each phase.
+func (m *machine) watch(start time.Time, t timetable) func(context.Context) error {
+	return func(ctx context.Context) error {
+		var last ticks
+		for p := settle; p <= phases; p++ {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-time.After(time.Until(start.Add(t.begin(p)))):
+			}
+			now, err := readTicks()
+			if err != nil {
+				return err
+			}
+			if p > settle {
+				m.shares[p-1] = now.busySince(last)
+			}
+			last = now
+		}
+		return nil
+	}
+}
+
+// busy is the share of the processors' time used in each phase, valid once watch has ended.
+func (m *machine) busy() [phases]float64 { return m.shares }
+
+// ticks are the processors' times since the machine started.
+type ticks struct{ idle, all int64 }
+
+func (t ticks) busySince(before ticks) float64 {
+	all := t.all - before.all
+	if all <= 0 {
+		return 0
+	}
+	return 1 - float64(t.idle-before.idle)/float64(all)
+}
+
+func readTicks() (ticks, error) {
+	data, err := os.ReadFile("/proc/stat")
+	if err != nil {
+		return ticks{}, err
+	}
+	return parseTicks(string(data))
+}
+
+// parseTicks reads the first line of /proc/stat: user, nice, system, idle, iowait, irq, softirq, steal.
+func parseTicks(text string) (ticks, error) {
+	const idleField, waitField, counted = 3, 4, 8
+	line, _, _ := strings.Cut(text, "\n")
+	fields := strings.Fields(line)
+	if len(fields) <= counted || fields[0] != "cpu" {
+		return ticks{}, fmt.Errorf("/proc/stat: unexpected line %q", line)
+	}
+	var t ticks
+	for i, field := range fields[1 : 1+counted] {
+		var n int64
+		if _, err := fmt.Sscan(field, &n); err != nil {
+			return ticks{}, fmt.Errorf("/proc/stat: %w", err)
+		}
+		t.all += n
+		if i == idleField || i == waitField {
+			t.idle += n
+		}
+	}
+	return t, nil
+}
--- a/lib/bfbackend/backend.go
+++ b/lib/bfbackend/backend.go
@@ -72,5 +72,8 @@
 	return b.clock.WaitUntil(ctx, b.Now().Add(d))
 }
 
+// Started reports whether the node has a version in force.
+func (b *Backend) Started() bool { return b.parts.Control.View() != nil }
+
 // State is the version that the node holds.
 func (b *Backend) State() *bfconfig.State { return b.parts.Control.State() }
--- a/lib/bfbackend/backend_test.go
+++ b/lib/bfbackend/backend_test.go
@@ -55,6 +55,16 @@
 	return h.Table.Get(ctx, keys...)
 }
 
+// lostAnswers applies each write and loses its answer.
+type lostAnswers struct{ bfstore.Table }
+
+func (l lostAnswers) Commit(ctx context.Context, tx bfstore.Transaction) error {
+	if err := l.Table.Commit(ctx, tx); err != nil {
+		return err
+	}
+	return &bfstore.UnknownError{Reason: "connection cut"}
+}
+
 func newBackend(t *testing.T, table bfstore.Table, objects bfstore.Objects) *Backend {
 	group := bfgroup.New(context.Background())
 	timer := bftimer.New(1)
@@ -144,6 +154,23 @@
 	is.Equal(outcome, bfquery.AlreadyCommitted{Version: 1})
 }
 
+// Every answer of the table is lost. The operator must read that no commit was
+// tried, without the words "outcome unknown" beside it, and find nothing done.
+func TestConfirmWhileAnswersGetLost(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	memory := bfstore.NewMemory()
+	b := newBackend(t, memory, memory)
+	stage(t, b, "a", "s1")
+	b.parts.Table = lostAnswers{memory}
+	outcome, err := b.Confirm(ctx, "a", "c1", "anna")
+	is.NoErr(err)
+	is.Equal(outcome, bfquery.NotAccepted{Reason: "no commit was tried, since the platform's answers get lost"})
+	versions, err := b.Versions(ctx, 10)
+	is.NoErr(err)
+	is.Equal(len(versions), 0)
+}
+
 // The name is confirmed by one operator, used for a new change, and only then
 // the first confirm is repeated. The repeat must speak of the change it was for
 // and leave the new one alone.
--- a/lib/bfbackend/confirm.go
+++ b/lib/bfbackend/confirm.go
@@ -27,9 +27,9 @@
 	switch {
 	case errors.As(err, &unknown):
 		// Only the binding was in doubt: no commit was tried, and none will be by this call.
-		return bfquery.NotAccepted{Reason: err.Error()}, nil
+		return bfquery.NotAccepted{Reason: "no commit was tried, since the platform's answers get lost"}, nil
 	case errors.As(err, &away):
-		return bfquery.NotAccepted{Reason: err.Error(), RetryAfter: away.RetryAfter}, nil
+		return bfquery.NotAccepted{Reason: "the platform does not answer: " + away.Reason, RetryAfter: away.RetryAfter}, nil
 	case err != nil:
 		return nil, err
 	}
--- a/lib/bfcaller/keys_test.go
+++ b/lib/bfcaller/keys_test.go
@@ -37,7 +37,12 @@
 			close(release)
 		}, "fuel", http.StatusOK, bfheader.OutcomeDone, 1},
 		"after its node left": {func(w *world, at *node, release chan struct{}) {
+			// The table fails when the outcome is written first.
+			w.table.away.Store(true)
+			calls := w.table.calls.Load()
 			close(release)
+			eventually(w.t, "a failed write", func() bool { return w.table.calls.Load() > calls })
+			w.table.away.Store(false)
 			at.guard.Leave()
 			at.guard.Idle(context.Background())
 			at.kill()
@@ -150,6 +155,7 @@
 		} else {
 			is.Equal(got.body, "ran "+name)
 		}
+		is.Equal(entry.ask("POST", approve, "without a key").outcome, bfheader.OutcomeDone)
 		is.Equal(w.ran(name), 1)
 	}
 }
--- a/lib/bfcaller/wire_test.go
+++ b/lib/bfcaller/wire_test.go
@@ -68,6 +68,7 @@
 	broken.does(func(rw http.ResponseWriter, _ *http.Request) {
 		rw.Header().Set("Content-Length", "100")
 		_, _ = io.WriteString(rw, "ran")
+		_ = http.NewResponseController(rw).Flush()
 		panic(http.ErrAbortHandler)
 	})
 	for i := 0; broken.all("q") == 0 || broken.all("n") == 0; i++ {
@@ -160,6 +161,7 @@
 	} {
 		conn, err := net.Dial("tcp", entry.callers)
 		is.NoErr(err)
+		is.NoErr(conn.SetDeadline(time.Now().Add(10 * time.Second)))
 		_, err = io.WriteString(conn, request)
 		is.NoErr(err)
 		line, err := bufio.NewReader(conn).ReadString('\n')
--- a/lib/bfcontrol/control.go
+++ b/lib/bfcontrol/control.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"bilberryflow.org/lib/bfconfig"
 	"bilberryflow.org/lib/bfdirectory"
 	"bilberryflow.org/lib/bfgroup"
@@ -22,6 +24,17 @@
 	"bilberryflow.org/lib/bftimer"
 )
 
+// Datagrams is what Control needs of bfpeer.Datagrams.
+type Datagrams interface {
+	Send(to netip.AddrPort, purpose bfpeer.Purpose, data []byte) error
+	Receive(ctx context.Context, handle func(from netip.AddrPort, data []byte) bfpeer.Purpose) error
+}
+
+// Calls is what Control needs of bfpeer.Calls.
+type Calls interface {
+	Call(ctx context.Context, address, method string, params, result any) error
+}
+
 // Parts is what a Control works with.
 type Parts struct {
 	// Self is the node's own row of the membership.
@@ -31,8 +44,8 @@
 	Profile   Profile
 	Table     bfstore.Table
 	Objects   bfstore.Objects
-	Datagrams *bfpeer.Datagrams
-	Calls     *bfpeer.Calls
+	Datagrams Datagrams
+	Calls     Calls
 	Directory *bfdirectory.Directory
 	Timer     *bftimer.Service
 	Group     *bfgroup.Group
@@ -52,17 +65,24 @@
 	members  *bfmember.Members
 	spreader *bfspread.Spreader
 	force    *force
-	// order is the one that the directory and the spreader were given.
-	order *bfmember.Order
+	// polls is set once the spreader polls the head.
+	polls  bool
+	share  share
+	source source
+	outbox outbox
+	rand   *rand.Rand
 	// peers maps the address of a member's datagrams to its hash.
 	peers map[string]uint64
 	// heard is the newest head each member was heard to hold.
 	heard  map[uint64]heardHead
 	census map[uint32]func(bfspread.Tally)
-	cold   map[string]coldTarget
+	// deliveries bounds the large messages that wait for the loop.
+	deliveries chan struct{}
 
-	// undecodable counts datagrams that are no message of this version.
+	// undecodable counts messages that are none of this version.
 	undecodable *bfmetric.Counter
+	reports     *rate.Limiter
+	reported    *bfmetric.Counter
 
 	view    atomic.Pointer[bfroute.View]
 	state   atomic.Pointer[bfconfig.State]
@@ -86,10 +106,17 @@
 	c := &Control{
 		parts: parts, loop: newLoop(parts.Timer), members: members,
 		spreader: bfspread.New(parts.Profile.Spread, parts.Self, bfconfig.Empty(), rng),
-		peers:    map[string]uint64{}, heard: map[uint64]heardHead{},
-		census: map[uint32]func(bfspread.Tally){}, cold: map[string]coldTarget{},
+		rand:     rng, peers: map[string]uint64{}, heard: map[uint64]heardHead{},
+		census:      map[uint32]func(bfspread.Tally){},
+		deliveries:  make(chan struct{}, maxDeliveries),
+		undecodable: parts.Metrics.Counter("control_undecodable"),
+		reports:     rate.NewLimiter(reportRate, reportBurst),
+		reported:    parts.Metrics.Counter("control_reports"),
 	}
-	c.undecodable = parts.Metrics.Counter("control_undecodable")
+	c.share.order = members.Order()
+	c.peers[parts.Self.Peer] = parts.Self.Key().Hash
+	c.outbox = newOutbox(parts.Datagrams, parts.Metrics)
+	c.source.publish(parts.Timer, parts.Metrics)
 	c.force = newForce(c)
 	c.state.Store(bfconfig.Empty())
 	c.loop.next = c.next
@@ -115,21 +142,24 @@
 func (c *Control) Order() *bfmember.Order { return c.members.Order() }
 
 // Run serves the control plane until ctx ends.
+//
+// The cores begin before anything else comes to the loop: what a peer sent to
+// the process that ran here before may be the first thing in the socket.
 func (c *Control) Run(ctx context.Context) error {
+	now := c.parts.Timer.Now()
+	c.source.begin(now)
+	c.memberActions(now, c.members.Start(now, c.parts.Seeds))
+	c.force.begin(now)
+	c.parts.Group.Go("send datagrams", c.outbox.run)
 	c.parts.Group.Go("datagrams", func(ctx context.Context) error {
 		return c.parts.Datagrams.Receive(ctx, c.receive)
 	})
-	c.loop.post(ctx, func(now time.Time) {
-		c.memberActions(now, c.members.Start(now, c.parts.Seeds))
-		c.spreadActions(now, "", c.spreader.Start(now))
-		c.force.begin(now)
-	})
 	return c.loop.run(ctx)
 }
 
 func (c *Control) next() time.Time {
 	next := c.members.Next()
-	for _, at := range []time.Time{c.spreader.Next(), c.force.next()} {
+	for _, at := range []time.Time{c.spreader.Next(), c.force.next(), c.share.next()} {
 		if !at.IsZero() && (next.IsZero() || at.Before(next)) {
 			next = at
 		}
@@ -141,23 +171,7 @@
 	c.memberActions(now, c.members.Tick(now))
 	c.spreadActions(now, "", c.spreader.Tick(now))
 	c.force.tick(now)
-}
-
-// after hands a changed membership to those who route by it.
-func (c *Control) after(now time.Time) {
-	order := c.members.Order()
-	if order == c.order {
-		return
-	}
-	c.order = order
-	c.spreader.SetOrder(order)
-	clear(c.peers)
-	for rank := range order.Len() {
-		member := order.At(rank)
-		c.peers[member.Row().Peer] = member.Key().Hash
-	}
-	c.swapDirectory(now, order)
-	c.force.membersChanged(now)
+	c.checkAge(now)
 }
 
 // async runs fn off the loop and its result on it.
@@ -169,103 +183,19 @@
 	})
 }
 
-func (c *Control) report(err error) {
-	c.parts.Logger.Emit(bflog.InvariantBroken, bflog.Err(err))
-}
-
-// receive takes one datagram.
-func (c *Control) receive(from netip.AddrPort, data []byte) bfpeer.Purpose {
-	purpose, message := c.decode(data)
-	if message == nil {
-		c.undecodable.Add(1)
-	}
-	if message != nil {
-		c.loop.post(c.parts.Group.Context(), func(now time.Time) { c.dispatch(now, from.String(), message) })
-	}
-	return purpose
-}
-
-// decode gives nil for bytes that are no message; anyone can send a datagram.
-func (c *Control) decode(data []byte) (bfpeer.Purpose, any) {
-	switch {
-	case bfmember.Owns(data):
-		message, err := bfmember.Decode(data)
-		return memberPurpose(message), orNil(message, err)
-	case bfspread.Owns(data):
-		message, err := bfspread.Decode(data)
-		return spreadPurpose(message), orNil(message, err)
-	case ownsWitness(data):
-		message, err := decodeWitness(data)
-		return bfpeer.Witness, orNil(message, err)
-	}
-	return bfpeer.Membership, nil
-}
-
-func orNil(message any, err error) any {
-	if err != nil {
-		return nil
-	}
-	return message
-}
-
-func (c *Control) dispatch(now time.Time, from string, message any) {
-	switch message := message.(type) {
-	case bfmember.Message:
-		c.memberActions(now, c.members.Receive(now, from, message))
-	case witnessMessage:
-		c.force.receive(now, from, message)
-	case bfspread.Message:
-		c.spreadActions(now, from, c.spreader.Receive(now, c.peers[from], message))
-	}
-}
-
-// Committed tells of a version that this node's commit made.
-func (c *Control) Committed(ctx context.Context, delta []byte) error {
-	return c.loop.ask(ctx, func(now time.Time) { c.spreadActions(now, "", c.spreader.Committed(now, delta)) })
-}
+const (
+	// reportRate and reportBurst bound the log lines that a stranger's messages can cause.
+	reportRate  = 1
+	reportBurst = 10
+)
 
-// Census asks the whole fleet what is in force.
-func (c *Control) Census(ctx context.Context, wait time.Duration) (bfspread.Tally, error) {
-	answer := make(chan bfspread.Tally, 1)
-	err := c.loop.ask(ctx, func(now time.Time) {
-		id, actions := c.spreader.Census(now, wait)
-		c.census[id] = func(t bfspread.Tally) { answer <- t }
-		c.spreadActions(now, "", actions)
-	})
-	if err != nil {
-		return bfspread.Tally{}, err
-	}
-	select {
-	case tally := <-answer:
-		return tally, nil
-	case <-ctx.Done():
-		return bfspread.Tally{}, ctx.Err()
+func (c *Control) report(err error) {
+	c.reported.Add(1)
+	if c.reports.AllowN(c.parts.Timer.Now(), 1) {
+		c.parts.Logger.Emit(bflog.InvariantBroken, bflog.Err(err))
 	}
 }
 
-// Heard tells the newest version each member was heard to hold, and how long ago.
-func (c *Control) Heard(ctx context.Context) (map[uint64]bfconfig.Version, map[uint64]time.Duration, error) {
-	versions, ages := map[uint64]bfconfig.Version{}, map[uint64]time.Duration{}
-	err := c.loop.ask(ctx, func(now time.Time) {
-		for hash, head := range c.heard {
-			versions[hash], ages[hash] = head.version, now.Sub(head.at)
-		}
-	})
-	return versions, ages, err
-}
-
-// SetTarget tells the fleet of a change of the node's own target.
-func (c *Control) SetTarget(ctx context.Context, state bfmember.TargetState, slots int) error {
-	return c.loop.ask(ctx, func(now time.Time) {
-		c.memberActions(now, c.members.SetTarget(now, state, uint32(slots)))
-	})
-}
-
-// Leave tells the fleet that the node stops.
-func (c *Control) Leave(ctx context.Context) error {
-	return c.loop.ask(ctx, func(now time.Time) { c.memberActions(now, c.members.Leave(now)) })
-}
-
 func (c *Control) memberActions(now time.Time, actions []bfmember.Action) {
 	for _, action := range actions {
 		switch a := action.(type) {
@@ -273,11 +203,12 @@
 			data, err := bfmember.Encode(a.Message)
 			c.send(a.Address, memberPurpose(a.Message), data, err)
 		case bfmember.Heard:
-			c.heard[a.From] = heardHead{bfconfig.Version(a.Advert.Version), now}
+			c.heardFrom(now, a)
 			c.spreadActions(now, "", c.spreader.Heard(now, a.From, bfspread.Head{
 				Version: bfconfig.Version(a.Advert.Version), Digest: a.Advert.Digest,
 			}))
 		case bfmember.Changed:
+			c.changePeer(a)
 			c.logMember(a)
 		case bfmember.Refuted:
 			c.parts.Reincarnated(a.Self.Incarnation)
@@ -296,9 +227,27 @@
 }
 
 // joined tells recovery of the whole membership; the order comes to it first.
+//
+// Polls of the head begin here: a node that has not joined would take the fleet
+// for itself alone, and a herd that starts would read the table many times a
+// second each.
 func (c *Control) joined(now time.Time) {
+	c.force.joined = true
 	c.after(now)
-	c.force.joinedFleet(now)
+	c.shareNow(now)
+	if !c.polls {
+		c.polls = true
+		c.spreadActions(now, "", c.spreader.Start(now))
+	}
+}
+
+// heardFrom keeps what a member advertised; a stranger is not worth the memory.
+func (c *Control) heardFrom(now time.Time, a bfmember.Heard) {
+	if _, member := c.members.Order().RankOf(a.From); !member {
+		return
+	}
+	c.contact(now)
+	c.heard[a.From] = heardHead{bfconfig.Version(a.Advert.Version), now}
 }
 
 func (c *Control) logMember(a bfmember.Changed) {
@@ -362,6 +311,8 @@
 func (c *Control) held(now time.Time, state *bfconfig.State) {
 	c.state.Store(state)
 	head := bfspread.HeadOf(state)
+	// The ramps of cold targets are part of the configuration.
+	c.share.stale = c.share.stale || len(c.share.cold) > 0
 	c.members.SetAdvert(uint64(head.Version), head.Digest)
 	c.force.holds(now, state)
 }
--- a/lib/bfcontrol/directory.go
+++ b/lib/bfcontrol/directory.go
@@ -1,6 +1,7 @@
 package bfcontrol
 
 import (
+	"maps"
 	"time"
 
 	"bilberryflow.org/lib/bfchoice"
@@ -16,48 +17,110 @@
 	since       time.Time
 }
 
+// share is how the membership comes to those who route by it.
+type share struct {
+	// order is the one that the spreader has; the others may lack its changes.
+	order *bfmember.Order
+	stale bool
+	at    time.Time
+	cold  map[string]coldTarget
+}
+
+const (
+	// shareInterval bounds how often a changed membership is shared. The first
+	// change after a quiet time is shared at once; the members of a lost domain
+	// come one by one, and each share goes through the whole fleet.
+	shareInterval = 250 * time.Millisecond
+	// sharePerMember stretches the interval with the fleet, to two seconds at
+	// 25,000, where a share takes some 15 ms: under a hundredth of a core even
+	// while members change all the time.
+	sharePerMember = 80 * time.Microsecond
+)
+
+// next is when a changed membership is shared, the zero time where none waits.
+func (s *share) next() time.Time {
+	if !s.stale {
+		return time.Time{}
+	}
+	return s.at.Add(max(shareInterval, time.Duration(s.order.Len())*sharePerMember))
+}
+
+// after gives a changed membership to the spreader at once and to the others in time.
+func (c *Control) after(now time.Time) {
+	if order := c.members.Order(); order != c.share.order {
+		c.share.order, c.share.stale = order, true
+		c.spreader.SetOrder(order)
+	}
+	if c.share.stale && !now.Before(c.share.next()) {
+		c.shareNow(now)
+	}
+}
+
+// shareNow gives the membership to the request path and to recovery.
+func (c *Control) shareNow(now time.Time) {
+	c.share.stale, c.share.at = false, now
+	c.swapDirectory(now, c.share.order)
+	c.force.membersChanged(now)
+	if len(c.heard) > c.share.order.Len() {
+		maps.DeleteFunc(c.heard, func(hash uint64, _ heardHead) bool {
+			_, member := c.share.order.RankOf(hash)
+			return !member
+		})
+	}
+}
+
+// changePeer keeps the addresses of present members.
+func (c *Control) changePeer(a bfmember.Changed) {
+	if hash := bfmember.HashID(a.New.ID); c.peers[a.Old.Peer] == hash {
+		delete(c.peers, a.Old.Peer)
+	}
+	if a.New.State.Present() {
+		c.peers[a.New.Peer] = bfmember.HashID(a.New.ID)
+	}
+}
+
 // swapDirectory gives the order to the request path in its own terms.
 func (c *Control) swapDirectory(now time.Time, order *bfmember.Order) {
 	members := make([]bfdirectory.Member, 0, order.Len())
+	cold := map[string]coldTarget{}
 	for rank := range order.Len() {
 		row := order.At(rank).Row()
 		members = append(members, bfdirectory.Member{
 			Home:          bfrecord.Home{Instance: row.ID, Incarnation: row.Incarnation},
 			FailureDomain: row.Domain, Service: row.Service, Inbound: row.Inbound, Peer: row.Peer,
-			Target: c.target(now, row),
+			Target: c.target(now, row, cold),
 		})
 	}
+	c.share.cold = cold
 	c.parts.Directory.Swap(members)
 }
 
-func (c *Control) target(now time.Time, row *bfmember.Row) bfchoice.Member {
+// target tells the state of a member's target, and adds one that is cold to cold.
+func (c *Control) target(now time.Time, row *bfmember.Row, cold map[string]coldTarget) bfchoice.Member {
 	member := bfchoice.Member{ID: row.ID, FailureDomain: row.Domain, Slots: int(row.Slots), State: bfchoice.Silent}
 	switch row.Target {
 	case bfmember.TargetReady:
 		member.State = bfchoice.Ready
 	case bfmember.TargetCold:
 		member.State = bfchoice.Cold
-		member.ColdSince = c.coldSince(now, row)
+		cold[row.ID] = c.coldTarget(now, row)
+		member.ColdSince = cold[row.ID].since
 		member.ColdStart = c.coldStart(row.Service)
 	case bfmember.TargetLeaving:
 		member.State = bfchoice.Leaving
 	case bfmember.TargetNone, bfmember.TargetSilent:
 	}
-	if member.State != bfchoice.Cold {
-		delete(c.cold, row.ID)
-	}
 	return member
 }
 
-// coldSince holds the start of a ramp: were it taken anew with each change of
+// coldTarget holds the start of a ramp: were it taken anew with each change of
 // the membership, a cold target would never be seen warm.
-func (c *Control) coldSince(now time.Time, row *bfmember.Row) time.Time {
-	held, found := c.cold[row.ID]
+func (c *Control) coldTarget(now time.Time, row *bfmember.Row) coldTarget {
+	held, found := c.share.cold[row.ID]
 	if !found || held.incarnation != row.Incarnation {
-		held = coldTarget{row.Incarnation, now}
-		c.cold[row.ID] = held
+		return coldTarget{row.Incarnation, now}
 	}
-	return held.since
+	return held
 }
 
 func (c *Control) coldStart(service string) time.Duration {
--- a/lib/bfcontrol/force.go
+++ b/lib/bfcontrol/force.go
@@ -38,6 +38,9 @@
 	members, met []bfrecover.Member
 	// held are versions held and not in force yet, oldest first.
 	held []*bfconfig.State
+	// floor is the version decided to start from; nothing older comes into force.
+	floor bfconfig.Version
+	head  headSearch
 	// heartbeat holds the notes that wait for the next heartbeat, by witness.
 	heartbeat map[string]bfrecover.Note
 	beat      time.Time
@@ -62,7 +65,7 @@
 	f.start = bfrecover.NewStart(now, f.self, f.settings)
 	f.said = now
 	f.due = now
-	f.control.readHead()
+	f.readHead()
 }
 
 func (f *force) next() time.Time { return f.due }
@@ -87,22 +90,19 @@
 	for _, id := range f.start.Ask() {
 		f.send(id, bfrecover.Question{Instance: f.self.ID})
 	}
-	f.control.readHead()
+	if f.head.due(now) {
+		f.readHead()
+	}
 	f.decide(now)
 }
 
-func (f *force) joinedFleet(now time.Time) {
-	f.joined = true
-	f.membersChanged(now)
-}
-
 // membersChanged takes the order that the control holds.
 func (f *force) membersChanged(now time.Time) {
-	order := f.control.order
-	if order == nil || f.start == nil && f.gate == nil {
+	if f.start == nil && f.gate == nil {
 		return
 	}
-	f.members = f.members[:0:0]
+	order := f.control.share.order
+	f.members = f.members[:0]
 	for rank := range order.Len() {
 		f.members = append(f.members, recoverMember(order.At(rank).Row()))
 	}
@@ -140,6 +140,7 @@
 	if f.start == nil {
 		return
 	}
+	f.head.ended(now, err, f.control.rand)
 	if err != nil {
 		f.start.OnTableAway(err)
 		return
@@ -158,6 +159,7 @@
 			f.control.parts.Logger.Emit(bflog.RecoveryWaiting, slog.String("for", decision.String()))
 		}
 	case bfrecover.Contradiction:
+		f.head.known = false
 		if now.Sub(f.said) >= waitingLogEvery {
 			f.said = now
 			f.control.parts.Logger.Emit(bflog.InvariantBroken, slog.String("what", "witness ahead of the table"),
@@ -172,6 +174,7 @@
 	f.gate = bfrecover.NewGate(now, f.self, f.control.parts.Self.Incarnation, at, f.settings)
 	f.control.parts.Logger.Emit(bflog.RecoveryDone,
 		slog.Uint64("version", uint64(at.Version)), slog.Bool("fromTable", at.FromTable))
+	f.floor = at.Version
 	f.atLeast(at.Version)
 	f.carryOut(now, f.gate.OnMembers(now, f.members))
 	if n := len(f.held); n > 0 {
@@ -197,7 +200,13 @@
 const maxHeld = 256
 
 // holds takes a version that the node holds whole and validated.
+//
+// A node that starts at 40 comes there by way of 1, 2 and 3 where it gets
+// deltas. Those are no versions to serve: its earlier incarnation served 40.
 func (f *force) holds(now time.Time, state *bfconfig.State) {
+	if state.Version() < f.floor {
+		return
+	}
 	f.held = append(f.held, state)
 	if len(f.held) > maxHeld {
 		f.held = append(f.held[:1:1], f.held[2:]...)
@@ -245,11 +254,9 @@
 
 // send sends to a member; one that is gone is replaced as a witness.
 func (f *force) send(id string, message any) {
-	if f.control.order == nil {
-		return
-	}
-	if rank, found := f.control.order.Rank(id); found {
-		f.control.sendWitness(f.control.order.At(rank).Row().Peer, message)
+	order := f.control.share.order
+	if rank, found := order.Rank(id); found {
+		f.control.sendWitness(order.At(rank).Row().Peer, message)
 	}
 }
 
--- /dev/null
+++ b/lib/bfcontrol/hostile_test.go
@@ -0,0 +1,268 @@
+package bfcontrol
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"bilberryflow.org/lib/bfconfig"
+	"bilberryflow.org/lib/bfdirectory"
+	"bilberryflow.org/lib/bfgroup"
+	"bilberryflow.org/lib/bflog"
+	"bilberryflow.org/lib/bfmember"
+	"bilberryflow.org/lib/bfmetric"
+	"bilberryflow.org/lib/bfpeer"
+	"bilberryflow.org/lib/bfrecover"
+	"bilberryflow.org/lib/bfspread"
+	"bilberryflow.org/lib/bfstore"
+	"bilberryflow.org/lib/bftimer"
+)
+
+// sink is a network that takes everything and delivers nothing.
+type sink struct{}
+
+func (sink) Send(netip.AddrPort, bfpeer.Purpose, []byte) error { return nil }
+
+func (sink) Receive(ctx context.Context, _ func(netip.AddrPort, []byte) bfpeer.Purpose) error {
+	<-ctx.Done()
+	return nil
+}
+
+func (sink) Call(context.Context, string, string, any, any) error { return errors.New("nobody") }
+
+// alone makes a Control whose loop does not run, for a test to call on its own goroutine.
+func alone(tb testing.TB, datagrams Datagrams) *Control {
+	memory := bfstore.NewMemory()
+	c, err := New(Parts{
+		Self: memberRow(0), Profile: Convergence(), Table: memory, Objects: memory,
+		Datagrams: datagrams, Calls: sink{}, Directory: bfdirectory.New("d0"), Timer: bftimer.New(1),
+		Group: bfgroup.New(context.Background()), Logger: bflog.Discard(), Metrics: bfmetric.New(), Seed: 1,
+		Reincarnated: func(uint64) {},
+	})
+	is.New(tb).NoErr(err)
+	return c
+}
+
+// settled is alone with a few members, joined and with a version in force.
+func settled(tb testing.TB, now time.Time) *Control {
+	c := alone(tb, sink{})
+	c.source.begin(now)
+	c.memberActions(now, c.members.Start(now, nil))
+	c.force.begin(now)
+	c.memberActions(now, c.members.MeetingRead(now, nil, nil))
+	c.dispatch(now, "10.0.0.1:1", bfmember.Repair{Self: memberRow(1), Rows: []bfmember.Row{memberRow(2), memberRow(3)}})
+	c.force.headRead(now, 0, nil)
+	c.after(now)
+	return c
+}
+
+// drain runs what came back to the loop, and ends what the Control started.
+func (c *Control) drain(now time.Time) error {
+	c.parts.Group.Cancel()
+	err := c.parts.Group.Wait()
+	for len(c.loop.events) > 0 {
+		(<-c.loop.events)(now)
+	}
+	return err
+}
+
+// samples holds a sound message of every kind.
+func samples(tb testing.TB) [][]byte {
+	is := is.New(tb)
+	row := memberRow(1)
+	change := bfconfig.NewChange("c", "anna", time.Unix(1e9, 0), []bfconfig.Op{bfconfig.Put{Object: bfconfig.ServiceSpec{Name: "s"}}})
+	state, delta, err := bfconfig.Empty().Propose(change)
+	is.NoErr(err)
+	body, err := delta.Encode()
+	is.NoErr(err)
+	snapshot, err := state.EncodeSnapshot()
+	is.NoErr(err)
+	news := bfmember.News{
+		Rows: []bfmember.Row{memberRow(2)}, Marks: []bfmember.Mark{{Hash: row.Key().Hash, Incarnation: 1, Sequence: 2}},
+		Losses:  []bfmember.Loss{{Domain: "d1", State: bfmember.Suspect, Packed: make([]byte, 17)}},
+		Outages: []bfmember.Outage{{Region: "r0", Domain: "d1", Epoch: 1, Lost: true}},
+	}
+	var all [][]byte
+	for _, m := range []bfmember.Message{
+		bfmember.Probe{From: row.Key().Hash, Nonce: 1, News: news}, bfmember.Ack{From: row.Key().Hash, Nonce: 1, News: news, Introduce: true},
+		bfmember.ProbeRequest{From: row.Key().Hash, Nonce: 1, Target: memberRow(2).Key().Hash},
+		bfmember.Summary{Self: row, Buckets: make([]byte, 512)},
+		bfmember.Detail{Self: row, Buckets: []bfmember.BucketDetail{{Bucket: 1, Cells: make([]byte, 512)}}},
+		bfmember.Repair{Self: row, Cells: []uint16{1, 4095, 65535}, Rows: []bfmember.Row{row}, Answer: true},
+		bfmember.PageRequest{Self: row, Nonce: 1, Limit: -1}, bfmember.Page{Nonce: 1, Rows: []bfmember.Row{row}},
+	} {
+		data, err := bfmember.Encode(m)
+		is.NoErr(err)
+		all = append(all, data)
+	}
+	whole := bfspread.Range{Scope: bfspread.ScopeFleet}
+	for _, m := range []bfspread.Message{
+		bfspread.Push{From: row.Key().Hash, Nonce: 1, Deltas: [][]byte{body}, Range: whole, Head: bfspread.Head{Version: 9}},
+		bfspread.Ack{Nonce: 1, Head: bfspread.Head{Version: 2}}, bfspread.Pull{From: row.Key().Hash, Nonce: 1, Snapshot: true},
+		bfspread.Deltas{Nonce: 1, Deltas: [][]byte{body}}, bfspread.Snapshot{Nonce: 1, Version: 1, Data: snapshot},
+		bfspread.Busy{Nonce: 1, RetryAfter: 1 << 31}, bfspread.Census{From: row.Key().Hash, Nonce: 1, Range: whole, Wait: 1 << 31},
+		bfspread.CensusAnswer{Nonce: 1, Tally: bfspread.Tally{Lacks: []bfspread.Lack{{Members: -1}}}},
+	} {
+		data, err := bfspread.Encode(m)
+		is.NoErr(err)
+		all = append(all, data)
+	}
+	set := bfrecover.Set{Incarnation: 1, Epoch: 1, Members: []string{row.ID, ""}}
+	for kind, m := range map[byte]any{
+		kindNote:    bfrecover.Note{Instance: row.ID, Incarnation: 1, Epoch: 1, Version: 1, Sets: []bfrecover.Set{set}},
+		kindNoteAck: bfrecover.Ack{Witness: row.ID, Memory: 1, Version: 1}, kindQuestion: bfrecover.Question{Instance: row.ID},
+		kindAnswer: bfrecover.Answer{Witness: row.ID, Counts: true, Version: 1, Sets: []bfrecover.Set{set}},
+	} {
+		data, err := cbor.Marshal(m)
+		is.NoErr(err)
+		all = append(all, append([]byte{kind}, data...))
+	}
+	slices.SortFunc(all, slices.Compare)
+	return append(all, nil, []byte{0}, []byte{15}, []byte{31}, []byte{47}, []byte{255, 1, 2})
+}
+
+// feed gives bytes to a live Control as a datagram, and lets time pass.
+func feed(tb testing.TB, c *Control, now time.Time, data []byte) {
+	if _, message := c.decode(data); message != nil {
+		c.dispatch(now, "10.0.0.1:1", message)
+	}
+	for _, wait := range []time.Duration{0, time.Second, 3 * time.Second} {
+		c.tick(now.Add(wait))
+		c.after(now.Add(wait))
+	}
+	is.New(tb).True(c.View() == nil || c.View().Version() <= c.State().Version())
+}
+
+// Anyone can send a node bytes, as a datagram or by a call: messages cut short, with a bit
+// turned, of another version, empty. Whatever comes, the node goes on: a message
+// that crashes one would crash the fleet, since nodes hand on what they hear.
+func TestHostileMessagesCrashNobody(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	rng := rand.New(rand.NewPCG(3, 3))
+	for _, sample := range samples(t) {
+		c := settled(t, now)
+		feed(t, c, now, sample)
+		for i := range 150 {
+			data := slices.Clone(sample)
+			for range 1 + rng.IntN(3) {
+				if len(data) > 1 {
+					data[1+rng.IntN(len(data)-1)] = byte(rng.Uint32())
+				}
+			}
+			feed(t, c, now.Add(time.Duration(i)*time.Second), data[:len(data)-rng.IntN(1+len(data)/4)])
+		}
+		is.New(t).NoErr(c.drain(now))
+	}
+}
+
+func FuzzDispatch(f *testing.F) {
+	for _, sample := range samples(f) {
+		f.Add(sample)
+	}
+	now := time.Unix(1_800_000_000, 0)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c := settled(t, now)
+		feed(t, c, now, data)
+		feed(t, c, now.Add(time.Minute), data)
+		is.New(t).NoErr(c.drain(now))
+	})
+}
+
+// An empty datagram, noise as a datagram and noise in a call come to a node.
+// The operator finds each in the count of undecodable messages and nothing else.
+func TestForeignBytesAreCounted(t *testing.T) {
+	is := is.New(t)
+	c := alone(t, sink{})
+	from := netip.MustParseAddrPort("10.0.0.9:1")
+	c.receive(from, nil)
+	c.receive(from, []byte{200})
+	params, err := json.Marshal(&delivery{From: "nowhere", Data: []byte{kindNote, 0xff}})
+	is.NoErr(err)
+	_, err = c.deliver(t.Context(), params)
+	is.NoErr(err)
+	is.Equal(c.undecodable.Value(), int64(3))
+	is.Equal(len(c.loop.events), 0)
+}
+
+// A node restarts while its peers still send notes to it as a witness. The first
+// that the new process reads must not crash it, or it would crash at each start
+// for as long as they repeat them.
+func TestMessageBeforeTheStart(t *testing.T) {
+	c := alone(t, sink{})
+	note := witnessMessage{bfrecover.Note{Instance: "n2", Incarnation: 1, Epoch: 1, Version: 3}}
+	c.loop.post(t.Context(), func(now time.Time) { c.dispatch(now, "10.0.0.1:1", note) })
+	c.parts.Group.Go("timer", c.parts.Timer.Run)
+	c.parts.Group.Go("control", c.Run)
+	is := is.New(t)
+	is.NoErr(c.loop.ask(t.Context(), func(time.Time) {}))
+	c.parts.Group.Cancel()
+	is.NoErr(c.parts.Group.Wait())
+}
+
+// stuck is a socket whose buffer is full: a send waits until the socket is closed.
+type stuck struct {
+	sink
+	ctx context.Context
+}
+
+func (s stuck) Send(netip.AddrPort, bfpeer.Purpose, []byte) error {
+	<-s.ctx.Done()
+	return s.ctx.Err()
+}
+
+// The machine's network queue is full and a send waits. The loop must go on with
+// probes and versions and drop what it can't send; were it to wait, the fleet
+// would hold the node dead while its requests run.
+func TestFullSocketDoesNotStopTheLoop(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	c := alone(t, stuck{ctx: ctx})
+	c.parts.Group.Go("timer", c.parts.Timer.Run)
+	c.parts.Group.Go("control", c.Run)
+	is.NoErr(c.loop.ask(ctx, func(time.Time) {
+		for range 2 * outboxLength {
+			c.send("10.0.0.1:1", bfpeer.Membership, []byte{1}, nil)
+		}
+	}))
+	is.True(c.outbox.dropped.Value() >= outboxLength-1)
+	cancel()
+	c.parts.Group.Cancel()
+	is.NoErr(c.parts.Group.Wait())
+	var stopped *StoppedError
+	is.True(errors.As(c.Leave(context.Background()), &stopped)) // asked too late, not asked for good
+}
+
+// Calls with large messages come faster than a stopped loop takes them. Only a
+// bounded number may wait; without the bound each holds megabytes of a node of
+// 128 MB. Senders are told, and repeat what matters.
+func TestLargeMessagesWaitInBoundedNumber(t *testing.T) {
+	is := is.New(t)
+	c := alone(t, sink{})
+	for range queueLength {
+		c.loop.post(t.Context(), func(time.Time) {})
+	}
+	params, err := json.Marshal(&delivery{From: "10.0.0.1:1", Data: samples(t)[0]})
+	is.NoErr(err)
+	const calls = 4 * maxDeliveries
+	ctx, cancel := context.WithCancel(t.Context())
+	results := make(chan error, calls)
+	for range calls {
+		go func() { _, err := c.deliver(ctx, params); results <- err }()
+	}
+	for range calls - maxDeliveries {
+		var busy *BusyError
+		is.True(errors.As(<-results, &busy))
+	}
+	cancel()
+	for range maxDeliveries {
+		is.True(<-results != nil)
+	}
+}
--- a/lib/bfcontrol/platform.go
+++ b/lib/bfcontrol/platform.go
@@ -29,6 +29,7 @@
 }
 
 func (c *Control) readMeeting() {
+	began := c.parts.Timer.Now()
 	async(c, "read meeting rows", func(ctx context.Context) meetings {
 		rows, err := c.parts.Table.Range(ctx, meetingPrefix, meetingEnd, c.parts.Profile.Members.MeetingSlots)
 		if err != nil {
@@ -43,7 +44,10 @@
 		}
 		return meetings{rows: found}
 	}, func(now time.Time, m meetings) {
-		c.force.metAt(m.rows)
+		c.tableAnswered(now, began, m.err)
+		if m.err == nil {
+			c.force.metAt(m.rows)
+		}
 		c.memberActions(now, c.members.MeetingRead(now, m.rows, m.err))
 	})
 }
@@ -69,39 +73,74 @@
 }
 
 func (c *Control) readHead() {
-	async(c, "read head", func(ctx context.Context) headRead {
-		rows, err := c.parts.Table.Get(ctx, bfcommit.HeadKey)
-		if err != nil {
-			return headRead{err: err}
-		}
-		head, err := bfcommit.DecodeHead(rows[0])
-		return headRead{version: head.Version, err: err}
-	}, func(now time.Time, h headRead) {
+	began := c.parts.Timer.Now()
+	async(c, "read head", c.tableHead, func(now time.Time, h headRead) {
+		c.tableAnswered(now, began, h.err)
 		c.force.headRead(now, h.version, h.err)
 		c.spreadActions(now, "", c.spreader.HeadRead(now, h.version, h.err))
 	})
 }
 
+func (c *Control) tableHead(ctx context.Context) headRead {
+	rows, err := c.parts.Table.Get(ctx, bfcommit.HeadKey)
+	if err != nil {
+		return headRead{err: err}
+	}
+	if len(rows) != 1 {
+		return headRead{err: &bfstore.UnavailableError{Reason: fmt.Sprintf("%d rows for the head", len(rows))}}
+	}
+	head, err := bfcommit.DecodeHead(rows[0])
+	return headRead{version: head.Version, err: err}
+}
+
 type deltasRead struct {
 	deltas [][]byte
 	err    error
+	// whole is set where the row after the held version can't be used.
+	whole *snapshotRead
 }
 
+// fetchDeltas reads the versions after one from the table.
+//
+// A row may be gone or damaged. What comes before it is used; if it is the very
+// next one, no further read of rows leads past it, and the node would stay at
+// its version for good: only a snapshot does.
 func (c *Control) fetchDeltas(after bfconfig.Version) {
+	began := c.parts.Timer.Now()
 	async(c, "fetch deltas", func(ctx context.Context) deltasRead {
 		from, to := bfcommit.VersionRange(after+1, after+fetchLimit)
 		rows, err := c.parts.Table.Range(ctx, from, to, fetchLimit)
-		var read deltasRead
-		for _, row := range rows {
-			read.deltas = append(read.deltas, row.Value)
+		read := deltasRead{deltas: consecutive(after, rows), err: err}
+		// Without the look at the head, a member that advertises a version that
+		// does not exist would have others read snapshots for nothing.
+		if err == nil && len(read.deltas) == 0 && c.tableHead(ctx).version > after {
+			whole := c.loadSnapshot(ctx, after+1)
+			read.whole = &whole
 		}
-		read.err = err
 		return read
 	}, func(now time.Time, d deltasRead) {
+		c.tableAnswered(now, began, d.err)
+		if d.whole != nil {
+			c.spreadActions(now, "", c.spreader.StoreSnapshot(now, d.whole.version, d.whole.data, d.whole.err))
+		}
 		c.spreadActions(now, "", c.spreader.StoreDeltas(now, d.deltas, d.err))
 	})
 }
 
+// consecutive lists the deltas of the rows up to the first that does not follow.
+func consecutive(after bfconfig.Version, rows []bfstore.Row) [][]byte {
+	var deltas [][]byte
+	for _, row := range rows {
+		delta, err := bfconfig.DecodeDelta(row.Value)
+		if err != nil || delta.Version() != after+1 {
+			break
+		}
+		after++
+		deltas = append(deltas, row.Value)
+	}
+	return deltas
+}
+
 type snapshotRead struct {
 	version bfconfig.Version
 	data    []byte
@@ -110,19 +149,23 @@
 
 func (c *Control) fetchSnapshot(atLeast bfconfig.Version) {
 	async(c, "fetch snapshot", func(ctx context.Context) snapshotRead {
-		state, unusable, err := bfcommit.Load(ctx, c.parts.Table, c.parts.Objects, fetchLimit)
-		for _, u := range unusable {
-			c.parts.Logger.Emit(bflog.SnapshotUnusable, slog.Uint64("version", uint64(u.Version)), bflog.Err(u.Err))
-		}
-		if err != nil {
-			return snapshotRead{err: err}
-		}
-		if state.Version() < atLeast {
-			return snapshotRead{err: &bfconfig.VersionError{Held: state.Version(), Delta: atLeast}}
-		}
-		data, err := state.EncodeSnapshot()
-		return snapshotRead{version: state.Version(), data: data, err: err}
+		return c.loadSnapshot(ctx, atLeast)
 	}, func(now time.Time, s snapshotRead) {
 		c.spreadActions(now, "", c.spreader.StoreSnapshot(now, s.version, s.data, s.err))
 	})
 }
+
+func (c *Control) loadSnapshot(ctx context.Context, atLeast bfconfig.Version) snapshotRead {
+	state, unusable, err := bfcommit.Load(ctx, c.parts.Table, c.parts.Objects, fetchLimit)
+	for _, u := range unusable {
+		c.parts.Logger.Emit(bflog.SnapshotUnusable, slog.Uint64("version", uint64(u.Version)), bflog.Err(u.Err))
+	}
+	if err != nil {
+		return snapshotRead{err: err}
+	}
+	if state.Version() < atLeast {
+		return snapshotRead{err: &bfconfig.VersionError{Held: state.Version(), Delta: atLeast}}
+	}
+	data, err := state.EncodeSnapshot()
+	return snapshotRead{version: state.Version(), data: data, err: err}
+}
--- a/lib/bfcontrol/send.go
+++ b/lib/bfcontrol/send.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/netip"
 	"time"
 
 	"bilberryflow.org/lib/bfmember"
+	"bilberryflow.org/lib/bfmetric"
 	"bilberryflow.org/lib/bfpeer"
 	"bilberryflow.org/lib/bfspread"
 )
@@ -26,22 +26,68 @@
 
 type delivered struct{}
 
-// Methods are the calls that Control answers.
-func (c *Control) Methods() bfpeer.Methods {
-	return bfpeer.Methods{deliverMethod: {Purpose: bfpeer.Repair, Handle: c.deliver}}
+// datagram is a small message on its way out.
+type datagram struct {
+	to      netip.AddrPort
+	purpose bfpeer.Purpose
+	data    []byte
 }
 
-func (c *Control) deliver(ctx context.Context, params json.RawMessage) (any, error) {
-	var d delivery
-	if err := json.Unmarshal(params, &d); err != nil {
-		return nil, err
+const (
+	// outboxLength bounds the datagrams that wait for the socket.
+	outboxLength = 4096
+	// maxOutgoing bounds the large messages on their way.
+	maxOutgoing = 256
+)
+
+// outbox takes messages from the loop and never makes it wait: a full socket
+// buffer would stop the loop, its probes would go unanswered and the fleet would
+// hold the node dead. What does not fit is dropped, as the network may do anyway.
+type outbox struct {
+	datagrams Datagrams
+	waiting   chan datagram
+	outgoing  chan struct{}
+	dropped   *bfmetric.Counter
+}
+
+func newOutbox(datagrams Datagrams, metrics *bfmetric.Registry) outbox {
+	return outbox{
+		datagrams: datagrams, waiting: make(chan datagram, outboxLength), outgoing: make(chan struct{}, maxOutgoing),
+		dropped: metrics.Counter("control_dropped"),
 	}
-	if len(d.Data) > 0 {
-		if _, message := c.decode(d.Data); message != nil {
-			c.loop.post(ctx, func(now time.Time) { c.dispatch(now, d.From, message) })
+}
+
+func (o *outbox) put(d datagram) {
+	select {
+	case o.waiting <- d:
+	default:
+		o.dropped.Add(1)
+	}
+}
+
+// begin takes one of the places of large messages, if any is left.
+func (o *outbox) begin() bool {
+	select {
+	case o.outgoing <- struct{}{}:
+		return true
+	default:
+		o.dropped.Add(1)
+		return false
+	}
+}
+
+func (o *outbox) end() { <-o.outgoing }
+
+func (o *outbox) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case d := <-o.waiting:
+			// A datagram that could not be sent is one that was lost.
+			_ = o.datagrams.Send(d.to, d.purpose, d.data)
 		}
 	}
-	return &delivered{}, nil
 }
 
 // send sends a message, as a datagram where it fits one. A lost message is the
@@ -52,7 +98,11 @@
 		return
 	}
 	if len(data) > bfpeer.MaxDatagram {
+		if !c.outbox.begin() {
+			return
+		}
 		c.parts.Group.Go("deliver", func(ctx context.Context) error {
+			defer c.outbox.end()
 			ctx, cancel := context.WithTimeout(ctx, deliverTimeout)
 			defer cancel()
 			_ = c.parts.Calls.Call(ctx, address, deliverMethod, &delivery{From: c.parts.Self.Peer, Data: data}, nil)
@@ -65,7 +115,7 @@
 		c.report(err)
 		return
 	}
-	_ = c.parts.Datagrams.Send(to, purpose, data)
+	c.outbox.put(datagram{to, purpose, data})
 }
 
 func memberPurpose(message bfmember.Message) bfpeer.Purpose {
--- a/lib/bfcontrol/witness.go
+++ b/lib/bfcontrol/witness.go
@@ -21,7 +21,12 @@
 // witnessMessage is a decoded message of bfrecover.
 type witnessMessage struct{ body any }
 
-func ownsWitness(data []byte) bool { return data[0] >= kindNote && data[0] < kindWitnessLimit }
+// maxWitness bounds one message; the largest note has 8 sets of witnesses.
+const maxWitness = 16 << 10
+
+func ownsWitness(data []byte) bool {
+	return len(data) > 0 && len(data) <= maxWitness && data[0] >= kindNote && data[0] < kindWitnessLimit
+}
 
 // sendWitness sends a message of bfrecover; a lost one is sent again by its core.
 func (c *Control) sendWitness(address string, message any) {
--- a/lib/bfforward/forward_test.go
+++ b/lib/bfforward/forward_test.go
@@ -101,6 +101,8 @@
 	defer far.Close()
 	carrier := &conn{Conn: near}
 	defer carrier.Close()
+	is.NoErr(far.SetDeadline(time.Now().Add(5 * time.Second)))
+	is.NoErr(near.SetDeadline(time.Now().Add(5 * time.Second)))
 	d := &departure{}
 	carrier.current.Store(d)
 	is.True(d.stay())
--- a/lib/bflog/events.go
+++ b/lib/bflog/events.go
@@ -12,17 +12,18 @@
 
 // Events of configuration.
 var (
-	VersionAdopted    = declare(2001, slog.LevelInfo, "version in force", "Nothing.")
-	VersionRefused    = declare(2002, slog.LevelError, "version refused whole", "The older version stays in force; undo the version named, or update this node.")
-	VersionCommitted  = declare(2003, slog.LevelInfo, "version committed", "Nothing.")
-	CommitUnknown     = declare(2004, slog.LevelWarn, "outcome of a commit unknown", "Ask again with the change ID, or confirm again: it is safe.")
-	TableUnavailable  = declare(2005, slog.LevelWarn, "table service does not answer", "Requests go on by the configuration held; changes are refused until it answers.")
-	TableAvailable    = declare(2006, slog.LevelInfo, "table service answers again", "Nothing.")
-	SnapshotUnusable  = declare(2007, slog.LevelWarn, "snapshot unusable", "The one before is taken; look into the object store.")
-	DigestMismatch    = declare(2008, slog.LevelWarn, "digest differs after a delta", "A snapshot is fetched; report it if it repeats.")
-	RecoveryWaiting   = declare(2009, slog.LevelWarn, "start waits for a current version", "Neither the table nor enough peers answer; check both.")
-	RecoveryDone      = declare(2010, slog.LevelInfo, "start found its version", "Nothing.")
-	ConfigurationAged = declare(2011, slog.LevelWarn, "node cut off from the source of configuration", "It serves what it holds; check its network.")
+	VersionAdopted       = declare(2001, slog.LevelInfo, "version in force", "Nothing.")
+	VersionRefused       = declare(2002, slog.LevelError, "version refused whole", "The older version stays in force; undo the version named, or update this node.")
+	VersionCommitted     = declare(2003, slog.LevelInfo, "version committed", "Nothing.")
+	CommitUnknown        = declare(2004, slog.LevelWarn, "outcome of a commit unknown", "Ask again with the change ID, or confirm again: it is safe.")
+	TableUnavailable     = declare(2005, slog.LevelWarn, "table service does not answer", "Requests go on by the configuration held; changes are refused until it answers.")
+	TableAvailable       = declare(2006, slog.LevelInfo, "table service answers again", "Nothing.")
+	SnapshotUnusable     = declare(2007, slog.LevelWarn, "snapshot unusable", "The one before is taken; look into the object store.")
+	DigestMismatch       = declare(2008, slog.LevelWarn, "digest differs after a delta", "A snapshot is fetched; report it if it repeats.")
+	RecoveryWaiting      = declare(2009, slog.LevelWarn, "start waits for a current version", "Neither the table nor enough peers answer; check both.")
+	RecoveryDone         = declare(2010, slog.LevelInfo, "start found its version", "Nothing.")
+	ConfigurationAged    = declare(2011, slog.LevelWarn, "node cut off from the source of configuration", "It serves what it holds; check its network.")
+	ConfigurationCurrent = declare(2012, slog.LevelInfo, "node hears from the table or a member again", "Nothing.")
 )
 
 // Events of membership.
--- a/lib/bfoperator/handler.go
+++ b/lib/bfoperator/handler.go
@@ -55,25 +55,26 @@
 // ServeHTTP answers one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
 
-func (h *Handler) author(r *http.Request) (string, bool) {
+// author is whose token the request carries, or why none is.
+func (h *Handler) author(r *http.Request) (author, refusal string) {
 	secret, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !found {
-		return "", false
+	if !found || secret == "" {
+		return "", "no token was sent"
 	}
 	given := sha256.Sum256([]byte(secret))
 	for known, name := range h.authors {
 		if subtle.ConstantTimeCompare(known[:], given[:]) == 1 {
-			return name, true
+			return name, ""
 		}
 	}
-	return "", false
+	return "", "the token is not in this node's settings"
 }
 
 func (h *Handler) commands(w http.ResponseWriter, r *http.Request) {
-	author, known := h.author(r)
-	if !known {
+	author, refusal := h.author(r)
+	if refusal != "" {
 		w.Header().Set("WWW-Authenticate", "Bearer")
-		http.Error(w, "a token is needed", http.StatusUnauthorized)
+		http.Error(w, refusal, http.StatusUnauthorized)
 		return
 	}
 	var request bfresult.CommandRequest
--- a/lib/bfpeer/call.go
+++ b/lib/bfpeer/call.go
@@ -42,6 +42,9 @@
 	used time.Time
 	// ended is done once the connection can bring no more answers.
 	ended context.Context
+	// calls counts those in progress; a retired connection closes with the last.
+	calls   int
+	retired bool
 }
 
 // NewCalls makes the calls of one node; purposes of methods that it only calls are taken from methods too.
@@ -64,9 +67,19 @@
 }
 
 // Bind gives each connection its own framing and handler.
+//
+// The library leaves a connection open whose reading ended: without the close
+// each peer that went away, or sent bytes that are no message, would cost this
+// process a file until none is left.
 func (c *Calls) Bind(_ context.Context, conn *jsonrpc2.Connection) (jsonrpc2.ConnectionOptions, error) {
 	options := c.options()
 	options.Handler = &handler{calls: c, conn: conn}
+	c.group.Go("watch connection", func(context.Context) error {
+		// How a connection ended makes no difference: its calls are told by Call.
+		_ = conn.Wait()
+		_ = conn.Close()
+		return nil
+	})
 	return options, nil
 }
 
@@ -129,44 +142,72 @@
 
 // Call asks the peer at address and reads its answer into result.
 //
-// A connection that gives no answer in time is closed, and the next call opens
-// a new one: something between the nodes may have lost track of the old one,
-// and it would swallow every later call too.
+// A connection that gives no answer in time is used for no later call:
+// something between the nodes may have lost track of it, and it would swallow
+// those too. Calls in progress on it keep it until they end, since a single
+// slow answer looks the same and must not cut the others.
 func (c *Calls) Call(ctx context.Context, address, method string, params, result any) error {
+	began := time.Now()
 	conn, err := c.connection(ctx, address)
 	if err != nil {
 		return &UnreachableError{Address: address, Method: method, Reason: err}
 	}
+	defer c.end(conn)
 	// The library never answers a call whose connection broke; without this
 	// one the caller would wait for its whole timeout after a peer's crash.
 	waiting, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := context.AfterFunc(conn.ended, func() { cancel(errConnectionLost) })
 	defer stop()
-	err = conn.conn.Call(waiting, method, params).Await(waiting, result)
+	err = c.await(waiting, conn, method, params, result)
 	if waiting.Err() == nil {
 		return err
 	}
-	c.drop(address, conn)
+	if !errors.Is(ctx.Err(), context.Canceled) || time.Since(began) > suspectAfter {
+		c.retire(address, conn)
+	}
 	return &UnreachableError{Address: address, Method: method, Reason: context.Cause(waiting)}
 }
 
+// suspectAfter is how long a call that its caller gave up must have waited to
+// speak against the connection: callers give up for reasons of their own.
+const suspectAfter = time.Second
+
 var errConnectionLost = errors.New("connection lost")
 
+// await sends the call from a goroutine of its own: the library's write waits
+// for the other writes on the connection whatever the context says, and a
+// caller's deadline would pass while it stands behind a peer that stopped reading.
+func (c *Calls) await(ctx context.Context, conn *pooled, method string, params, result any) error {
+	sent := make(chan *jsonrpc2.AsyncCall, 1)
+	c.group.Go("send call", func(context.Context) error {
+		sent <- conn.conn.Call(ctx, method, params)
+		return nil
+	})
+	select {
+	case call := <-sent:
+		return call.Await(ctx, result)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// connection gives the connection to address with one call more on it.
 func (c *Calls) connection(ctx context.Context, address string) (*pooled, error) {
 	if p := c.pooled(address); p != nil {
 		return p, nil
 	}
+	life := c.group.Context()
 	// The connection outlives the call that opened it.
-	conn, err := jsonrpc2.Dial(context.WithoutCancel(ctx), streamDialer{&c.dialer, address}, c)
+	conn, err := jsonrpc2.Dial(context.WithoutCancel(ctx), streamDialer{&c.dialer, address, ctx, life}, c)
 	if err != nil {
 		return nil, err
 	}
 	ended, end := context.WithCancel(context.Background())
-	opened := &pooled{conn: conn, used: time.Now(), ended: ended}
-	c.group.Go("watch connection", func(context.Context) error {
+	opened := &pooled{conn: conn, used: time.Now(), ended: ended, calls: 1}
+	c.group.Go("watch calls", func(context.Context) error {
 		defer end()
-		// How a connection ended makes no difference to its calls.
+		// How it ended makes no difference to its calls.
 		_ = conn.Wait()
 		return nil
 	})
@@ -174,6 +215,7 @@
 	defer c.mu.Unlock()
 	if earlier, found := c.conns[address]; found && earlier.ended.Err() == nil {
 		c.close(opened)
+		earlier.calls++
 		return earlier, nil
 	}
 	c.conns[address] = opened
@@ -193,16 +235,27 @@
 		return nil
 	}
 	p.used = time.Now()
+	p.calls++
 	return p
 }
 
-func (c *Calls) drop(address string, lost *pooled) {
+// end takes one call off the connection.
+func (c *Calls) end(p *pooled) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p.calls--; p.retired && p.calls == 0 {
+		c.close(p)
+	}
+}
+
+// retire keeps later calls off the connection; its last call closes it.
+func (c *Calls) retire(address string, lost *pooled) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if p, found := c.conns[address]; found && p == lost {
+	lost.retired = true
+	if c.conns[address] == lost {
 		delete(c.conns, address)
 	}
-	c.close(lost)
 }
 
 // close closes the connection without waiting for what is in flight on it.
@@ -213,12 +266,12 @@
 // ignoreClosed drops the error of a connection that was already lost.
 func ignoreClosed(error) error { return nil }
 
-// CloseIdle closes connections that were not used for idle.
+// CloseIdle closes connections on which nothing is in progress and no call began for idle.
 func (c *Calls) CloseIdle(now time.Time, idle time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for address, p := range c.conns {
-		if now.Sub(p.used) > idle {
+		if now.Sub(p.used) > idle && p.calls == 0 {
 			delete(c.conns, address)
 			c.close(p)
 		}
@@ -226,4 +279,11 @@
 }
 
 // CloseAll closes every connection to a peer.
-func (c *Calls) CloseAll() { c.CloseIdle(time.Now().Add(time.Hour), 0) }
+func (c *Calls) CloseAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, p := range c.conns {
+		delete(c.conns, address)
+		c.close(p)
+	}
+}
--- a/lib/bfpeer/frame.go
+++ b/lib/bfpeer/frame.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/binary"
 	"fmt"
@@ -25,8 +26,11 @@
 }
 
 const (
-	// maxMessage bounds what a peer can make a node allocate, in bytes.
-	maxMessage = 64 << 20
+	// maxMessage bounds what a message may unpack to, in bytes. A node has 128 MB
+	// in all; docs/design/wire.md has the size of the largest snapshot.
+	maxMessage = 16 << 20
+	// firstRead is how much is allocated on the word of a length alone.
+	firstRead = 64 << 10
 	// compressAbove is the message size in bytes from which compression pays.
 	compressAbove = 128
 	plainMark     = 0
@@ -90,8 +94,8 @@
 	if size < 1 || size > maxMessage {
 		return nil, 0, &FrameError{Reason: fmt.Sprintf("length %d", size)}
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(r.in, data); err != nil {
+	data, err := readBody(r.in, int64(size))
+	if err != nil {
 		return nil, 0, err
 	}
 	total := int64(size) + int64(binary.PutUvarint(make([]byte, binary.MaxVarintLen64), size))
@@ -103,6 +107,17 @@
 	return message, total, nil
 }
 
+// readBody grows with what has come: on the word of a length alone a few
+// connections of a stranger could make the node allocate all of its memory.
+func readBody(in io.Reader, size int64) ([]byte, error) {
+	body := bytes.NewBuffer(make([]byte, 0, min(size, firstRead)))
+	n, err := io.CopyN(body, in, size)
+	if n < size && err == io.EOF {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return body.Bytes(), err
+}
+
 func decodeFrame(data []byte) (jsonrpc2.Message, error) {
 	mark, body := data[0], data[1:]
 	switch mark {
--- a/lib/bfquery/backend.go
+++ b/lib/bfquery/backend.go
@@ -5,7 +5,8 @@
 	"time"
 
 	"bilberryflow.org/lib/bfconfig"
-	"bilberryflow.org/lib/bfquery/bfgrammar"
+	"bilberryflow.org/lib/bfquery/bfcensus"
+	"bilberryflow.org/lib/bfquery/bfsyntax"
 )
 
 // Backend is what a node offers to commands.
@@ -18,7 +19,9 @@
 	Now() time.Time
 	// Wait returns after d, or earlier with the context's error.
 	Wait(ctx context.Context, d time.Duration) error
-	// State is the version that the node holds.
+	// Started reports whether the node has found a version to serve by since its start.
+	Started() bool
+	// State is the version that the node holds, an empty one before it has started.
 	State() *bfconfig.State
 
 	// Stage keeps a staged change where every node can confirm it. The same
@@ -46,10 +49,11 @@
 	Members(ctx context.Context) ([]Member, error)
 	// Targets lists the targets that the node knows.
 	Targets(ctx context.Context) ([]Target, error)
-	// Nodes lists the nodes with the version that each holds.
+	// Nodes lists the nodes with the version that each was last heard to hold.
 	Nodes(ctx context.Context) ([]Node, error)
-	// Census counts the versions held in the scope.
-	Census(ctx context.Context, scope bfgrammar.Scope) (Census, error)
+	// Census counts the versions in force in the scope, or fails with a
+	// NoMembersError or a NoInstanceError.
+	Census(ctx context.Context, scope bfsyntax.Scope) (bfcensus.Census, error)
 	// Explain tells how a request would be treated.
 	Explain(ctx context.Context, request ExplainRequest) (Explanation, error)
 	// Drain makes a target leave, or fails with a NoInstanceError.
@@ -171,27 +175,6 @@
 	Age time.Duration
 }
 
-// Census counts versions over a part of the fleet.
-type Census struct {
-	Domains []DomainCensus
-	// Unreachable names nodes that could not be asked; there may be more than
-	// are named.
-	Unreachable      []string
-	UnreachableCount int
-	// Partial is true if the node knows that its membership is not whole.
-	Partial bool
-}
-
-// DomainCensus counts versions in one failure domain.
-type DomainCensus struct {
-	Region string
-	Domain string
-	// Held counts the reachable nodes by the version that they hold.
-	Held map[bfconfig.Version]int
-	// Unreachable counts the others.
-	Unreachable int
-}
-
 // ExplainRequest is a request to be explained.
 type ExplainRequest struct {
 	Method string
--- a/lib/bfquery/bfgrammar/doc.go
+++ b/lib/bfquery/bfgrammar/doc.go
@@ -1,4 +1,4 @@
-// Package bfgrammar is the operators' language: its commands as typed values,
-// the parser from text, and the canonical text of each command. It knows
-// nothing of a node; docs/LANGUAGE.md is its page.
+// Package bfgrammar reads operators' commands: the grammar, the errors that
+// tell where a text goes wrong, and the help. It knows nothing of a node;
+// docs/LANGUAGE.md is its page.
 package bfgrammar
--- a/lib/bfquery/bfgrammar/parse.go
+++ b/lib/bfquery/bfgrammar/parse.go
@@ -11,6 +11,7 @@
 
 	"bilberryflow.org/lib/bfconfig"
 	"bilberryflow.org/lib/bfquery/bfresult"
+	"bilberryflow.org/lib/bfquery/bfsyntax"
 )
 
 const (
@@ -33,7 +34,7 @@
 )
 
 // Parse reads the commands of text; its error is a SyntaxError.
-func Parse(text string) ([]Command, error) {
+func Parse(text string) ([]bfsyntax.Command, error) {
 	if len(text) > maxText {
 		hint := fmt.Sprintf("send at most %d KiB at a time", maxText>>10)
 		return nil, &SyntaxError{Line: 1, Column: 1, Found: "a text too long", Expected: "less", Hint: hint}
@@ -51,7 +52,7 @@
 	if err != nil {
 		return nil, src.explain(err)
 	}
-	commands := make([]Command, 0, len(script.Commands))
+	commands := make([]bfsyntax.Command, 0, len(script.Commands))
 	for _, node := range script.Commands {
 		r := &reader{source: src}
 		command := r.command(node)
@@ -186,36 +187,36 @@
 }
 
 // command turns a node, in which the grammar set exactly one field, into its command.
-func (r *reader) command(node *commandNode) Command {
+func (r *reader) command(node *commandNode) bfsyntax.Command {
 	switch {
 	case node.Stage != nil:
 		return r.stage(node.Stage)
 	case node.Show != nil:
 		return r.show(node.Show)
 	case node.Diff != nil:
-		return Diff{Name: r.stagedName(node.Diff)}
+		return bfsyntax.Diff{Name: r.stagedName(node.Diff)}
 	case node.Confirm != nil:
 		return r.confirm(node.Confirm)
 	case node.Discard != nil:
-		return Discard{Name: r.stagedName(node.Discard)}
+		return bfsyntax.Discard{Name: r.stagedName(node.Discard)}
 	case node.InForce != nil:
-		return InForce{Scope: r.scope(node.InForce.Scope)}
+		return bfsyntax.InForce{Scope: r.scope(node.InForce.Scope)}
 	case node.Explain != nil:
 		return r.explainCommand(node.Explain)
 	case node.History != nil:
-		return History{Object: r.ref(node.History.Object), Limit: r.positive(node.History.Limit)}
+		return bfsyntax.History{Object: r.ref(node.History.Object), Limit: r.positive(node.History.Limit)}
 	case node.Undo != nil:
 		return r.undo(node.Undo)
 	case node.Drain != nil:
-		return Drain{Instance: r.required(node.Drain)}
+		return bfsyntax.Drain{Instance: r.required(node.Drain)}
 	case node.Watch != nil:
 		return r.watch(node.Watch)
 	}
 	return r.help(node.Help)
 }
 
-func (r *reader) confirm(node *confirmNode) Command {
-	confirm := Confirm{Name: r.stagedName(node.Name)}
+func (r *reader) confirm(node *confirmNode) bfsyntax.Command {
+	confirm := bfsyntax.Confirm{Name: r.stagedName(node.Name)}
 	if node.ChangeID == nil {
 		return confirm
 	}
@@ -226,20 +227,20 @@
 	return confirm
 }
 
-func (r *reader) scope(node *scopeNode) Scope {
+func (r *reader) scope(node *scopeNode) bfsyntax.Scope {
 	switch {
 	case node == nil || node.Everywhere:
-		return Everywhere{}
+		return bfsyntax.Everywhere{}
 	case node.Node != nil:
-		return AtNode{Instance: r.required(node.Node)}
+		return bfsyntax.AtNode{Instance: r.required(node.Node)}
 	case node.Part.Kind == "domain":
-		return InDomain{Domain: r.required(node.Part.Name)}
+		return bfsyntax.InDomain{Domain: r.required(node.Part.Name)}
 	}
-	return InRegion{Region: r.required(node.Part.Name)}
+	return bfsyntax.InRegion{Region: r.required(node.Part.Name)}
 }
 
-func (r *reader) explainCommand(node *explainNode) Command {
-	explain := Explain{Method: r.required(node.Method), Path: r.required(node.Path)}
+func (r *reader) explainCommand(node *explainNode) bfsyntax.Command {
+	explain := bfsyntax.Explain{Method: r.required(node.Method), Path: r.required(node.Path)}
 	if !strings.HasPrefix(explain.Path, "/") {
 		r.fail(node.Path.Pos, node.Path.Text, "a path that starts with /", "")
 	}
@@ -252,16 +253,16 @@
 	return explain
 }
 
-func (r *reader) undo(node *undoNode) Command {
-	undo := Undo{Version: bfconfig.Version(r.positive(node.Version))}
+func (r *reader) undo(node *undoNode) bfsyntax.Command {
+	undo := bfsyntax.Undo{Version: bfconfig.Version(r.positive(node.Version))}
 	if node.Name != nil {
 		undo.Name = r.stagedName(node.Name)
 	}
 	return undo
 }
 
-func (r *reader) watch(node *watchNode) Command {
-	watch := Watch{}
+func (r *reader) watch(node *watchNode) bfsyntax.Command {
+	watch := bfsyntax.Watch{}
 	if node.Version.Text != "latest" {
 		watch.Version = bfconfig.Version(r.positive(node.Version))
 	}
@@ -274,13 +275,13 @@
 	return watch
 }
 
-func (r *reader) help(node *helpNode) Command {
+func (r *reader) help(node *helpNode) bfsyntax.Command {
 	if node.Topic == nil {
-		return Help{}
+		return bfsyntax.Help{}
 	}
 	topic := r.text(node.Topic)
 	if _, found := usageOf(topic); !found {
 		r.fail(node.Topic.Pos, node.Topic.Text, "the first word of a command", commandHint(topic))
 	}
-	return Help{Topic: topic}
+	return bfsyntax.Help{Topic: topic}
 }
--- a/lib/bfquery/bfgrammar/stage.go
+++ b/lib/bfquery/bfgrammar/stage.go
@@ -6,10 +6,11 @@
 	"github.com/alecthomas/participle/v2/lexer"
 
 	"bilberryflow.org/lib/bfconfig"
+	"bilberryflow.org/lib/bfquery/bfsyntax"
 )
 
-func (r *reader) stage(node *stageNode) Command {
-	stage := Stage{Name: r.stagedName(node.Name)}
+func (r *reader) stage(node *stageNode) bfsyntax.Command {
+	stage := bfsyntax.Stage{Name: r.stagedName(node.Name)}
 	for _, edit := range node.Edits {
 		stage.Edits = append(stage.Edits, r.edit(edit))
 	}
@@ -19,22 +20,22 @@
 	return stage
 }
 
-func (r *reader) edit(node *editNode) Edit {
+func (r *reader) edit(node *editNode) bfsyntax.Edit {
 	switch {
 	case node.Create != nil:
 		name, fields := r.object(node.Create)
-		return Create{Name: name, Fields: fields}
+		return bfsyntax.Create{Name: name, Fields: fields}
 	case node.Change != nil:
 		name, fields := r.object(node.Change)
 		if len(fields.Settings()) == 0 {
 			r.fail(node.Pos, "change", "at least one field to alter", "")
 		}
-		return Change{Name: name, Fields: fields}
+		return bfsyntax.Change{Name: name, Fields: fields}
 	}
-	return Remove{Object: r.ref(node.Remove)}
+	return bfsyntax.Remove{Object: r.ref(node.Remove)}
 }
 
-func (r *reader) object(node *objectNode) (string, Fields) {
+func (r *reader) object(node *objectNode) (string, bfsyntax.Fields) {
 	switch {
 	case node.Service != nil:
 		return r.required(node.Service.Name), r.serviceFields(node.Service.Fields)
@@ -57,8 +58,8 @@
 	*field = &value
 }
 
-func (r *reader) serviceFields(nodes []*serviceField) Fields {
-	var fields ServiceFields
+func (r *reader) serviceFields(nodes []*serviceField) bfsyntax.Fields {
+	var fields bfsyntax.ServiceFields
 	for _, node := range nodes {
 		switch {
 		case node.Slots != nil:
@@ -70,8 +71,8 @@
 	return fields
 }
 
-func (r *reader) routeFields(nodes []*routeField) Fields {
-	var fields RouteFields
+func (r *reader) routeFields(nodes []*routeField) bfsyntax.Fields {
+	var fields bfsyntax.RouteFields
 	for _, node := range nodes {
 		switch {
 		case node.Prefix != nil:
@@ -101,8 +102,8 @@
 	return methods
 }
 
-func (r *reader) policyFields(nodes []*policyField) Fields {
-	var fields PolicyFields
+func (r *reader) policyFields(nodes []*policyField) bfsyntax.Fields {
+	var fields bfsyntax.PolicyFields
 	for _, node := range nodes {
 		switch {
 		case node.Class != nil:
@@ -128,8 +129,8 @@
 	return fields
 }
 
-func (r *reader) eventFields(nodes []*eventField) Fields {
-	var fields EventFields
+func (r *reader) eventFields(nodes []*eventField) bfsyntax.Fields {
+	var fields bfsyntax.EventFields
 	for _, node := range nodes {
 		switch {
 		case node.Start != nil:
--- a/lib/bfquery/bfgrammar/command.go
+++ b/lib/bfquery/bfsyntax/command.go
@@ -1,4 +1,4 @@
-package bfgrammar
+package bfsyntax
 
 import (
 	"time"
--- a/lib/bfquery/bfgrammar/filter.go
+++ b/lib/bfquery/bfsyntax/filter.go
@@ -1,4 +1,4 @@
-package bfgrammar
+package bfsyntax
 
 import (
 	"fmt"
@@ -65,8 +65,8 @@
 }
 
 func comparisonFilter(table TableName, c Comparison) (Filter, error) {
-	column, index, found := columnOf(table, c.Column)
-	if !found || c.Value == nil || !slices.Contains(operatorsOf(column.Type), c.Operator) {
+	column, index, found := ColumnOf(table, c.Column)
+	if !found || c.Value == nil || !slices.Contains(OperatorsOf(column.Type), c.Operator) {
 		return nil, &ConditionError{Table: table, Column: c.Column}
 	}
 	if c.Operator == Matches {
@@ -114,7 +114,7 @@
 	if c.Order == nil {
 		return 0
 	}
-	_, index, found := columnOf(c.Table, c.Order.Column)
+	_, index, found := ColumnOf(c.Table, c.Order.Column)
 	if !found {
 		return 0
 	}
@@ -124,3 +124,18 @@
 	}
 	return order
 }
+
+// OperatorsOf lists the relations that mean something for a type. A list is
+// equal to a name that it holds, and matches if one of its names does.
+func OperatorsOf(t bfresult.ColumnType) []Operator {
+	switch t {
+	case bfresult.TypeText:
+		return []Operator{Equal, NotEqual, Less, LessOrEqual, Greater, GreaterOrEqual, Matches}
+	case bfresult.TypeList:
+		return []Operator{Equal, NotEqual, Matches}
+	case bfresult.TypeFlag:
+		return []Operator{Equal, NotEqual}
+	case bfresult.TypeNumber, bfresult.TypePercent, bfresult.TypeDuration, bfresult.TypeTime:
+	}
+	return []Operator{Equal, NotEqual, Less, LessOrEqual, Greater, GreaterOrEqual}
+}
--- a/lib/bfquery/bfgrammar/table.go
+++ b/lib/bfquery/bfsyntax/table.go
@@ -1,4 +1,4 @@
-package bfgrammar
+package bfsyntax
 
 import (
 	"bilberryflow.org/lib/bfquery/bfresult"
@@ -113,8 +113,8 @@
 // Columns lists the columns of a table.
 func Columns(table TableName) []bfresult.Column { return columns[table] }
 
-// columnOf finds a column of the table.
-func columnOf(table TableName, name string) (bfresult.Column, int, bool) {
+// ColumnOf finds a column of the table.
+func ColumnOf(table TableName, name string) (bfresult.Column, int, bool) {
 	for i, column := range columns[table] {
 		if column.Name == name {
 			return column, i, true
@@ -123,7 +123,8 @@
 	return bfresult.Column{}, 0, false
 }
 
-func columnNames(table TableName) []string {
+// ColumnNames lists the names of a table's columns.
+func ColumnNames(table TableName) []string {
 	names := make([]string, 0, len(columns[table]))
 	for _, column := range columns[table] {
 		names = append(names, column.Name)
--- a/lib/bfquery/diff.go
+++ b/lib/bfquery/diff.go
@@ -5,8 +5,8 @@
 	"slices"
 
 	"bilberryflow.org/lib/bfconfig"
-	"bilberryflow.org/lib/bfquery/bfgrammar"
 	"bilberryflow.org/lib/bfquery/bfresult"
+	"bilberryflow.org/lib/bfquery/bfsyntax"
 )
 
 // fieldChange is one field of an object before and after an operation.
@@ -39,11 +39,11 @@
 	return changes, nil
 }
 
-func settingsOf(object bfconfig.Object) ([]bfgrammar.Setting, error) {
+func settingsOf(object bfconfig.Object) ([]bfsyntax.Setting, error) {
 	if object == nil {
 		return nil, nil
 	}
-	fields, err := bfgrammar.FieldsOf(object)
+	fields, err := bfsyntax.FieldsOf(object)
 	if err != nil {
 		return nil, err
 	}
@@ -68,7 +68,7 @@
 	{Name: "after", Type: bfresult.TypeText},
 }
 
-func (r *run) diff(ctx context.Context, command bfgrammar.Diff) error {
+func (r *run) diff(ctx context.Context, command bfsyntax.Diff) error {
 	list, err := r.backend.StagedList(ctx)
 	if err != nil {
 		return err
@@ -151,7 +151,7 @@
 	{Name: "changes", Type: bfresult.TypeList},
 }
 
-func (r *run) history(ctx context.Context, command bfgrammar.History) error {
+func (r *run) history(ctx context.Context, command bfsyntax.History) error {
 	const usualLimit = 20
 	limit := command.Limit
 	if limit == 0 {
--- a/lib/bfquery/error.go
+++ b/lib/bfquery/error.go
@@ -7,6 +7,7 @@
 	"bilberryflow.org/lib/bfconfig"
 	"bilberryflow.org/lib/bfquery/bfgrammar"
 	"bilberryflow.org/lib/bfquery/bfresult"
+	"bilberryflow.org/lib/bfquery/bfsyntax"
 	"bilberryflow.org/lib/bfstore"
 )
 
@@ -51,6 +52,20 @@
 	return fmt.Sprintf("instance %s is not a member", e.Instance)
 }
 
+// NotStartedError reports a node whose start still waits for a current version.
+type NotStartedError struct{}
+
+// Error says what the node waits for.
+func (e *NotStartedError) Error() string {
+	return "this node's start still waits for a current version, from the table or its peers; ask another node"
+}
+
+// NoMembersError reports a part of the fleet in which the node knows no member.
+type NoMembersError struct{ Scope bfsyntax.Scope }
+
+// Error names the part.
+func (e *NoMembersError) Error() string { return "no member is " + e.Scope.String() }
+
 // ChangedSinceError reports an undo of a version whose object a later one changed.
 type ChangedSinceError struct {
 	Ref    bfconfig.Ref
@@ -111,12 +126,13 @@
 func resultOf(err error) bfresult.Result {
 	var unknown *bfstore.UnknownError
 	if errors.As(err, &unknown) {
-		return bfresult.Outcome{Status: bfresult.StatusUnknown, Summary: unknown.Error()}
+		return bfresult.Outcome{Status: bfresult.StatusUnknown, Summary: "whether it was written is unknown, look at: show staged; " + unknown.Error()}
 	}
 	var unavailable *bfstore.UnavailableError
 	if errors.As(err, &unavailable) {
 		return bfresult.Outcome{
-			Status: bfresult.StatusNotAccepted, Summary: unavailable.Error(), RetryAfter: unavailable.RetryAfter,
+			Status:  bfresult.StatusNotAccepted,
+			Summary: "the platform does not answer, and nothing was written: " + unavailable.Reason, RetryAfter: unavailable.RetryAfter,
 		}
 	}
 	return failureOf(err)
@@ -131,9 +147,8 @@
 		}
 	}
 	kind := bfresult.FailureInternal
-	var notHeld *NotHeldError
 	switch {
-	case errors.As(err, &notHeld):
+	case isA[*NotHeldError](err), isA[*NotStartedError](err):
 		kind = bfresult.FailureUnavailable
 	case isInvalid(err):
 		kind = bfresult.FailureInvalid
@@ -144,7 +159,7 @@
 // isInvalid reports whether the command itself was wrong, so that sending it again is of no use.
 func isInvalid(err error) bool {
 	return isA[*ExistsError](err) || isA[*NotStagedError](err) || isA[*StagedExistsError](err) ||
-		isA[*NoVersionError](err) || isA[*NoInstanceError](err) || isA[*ChangedSinceError](err) ||
+		isA[*NoVersionError](err) || isA[*NoInstanceError](err) || isA[*NoMembersError](err) || isA[*ChangedSinceError](err) ||
 		isA[*HistoryGoneError](err) || isA[*NothingToUndoError](err) || isA[*ChangeIDError](err) ||
 		isA[*bfconfig.FieldError](err) || isA[*bfconfig.DanglingError](err) || isA[*bfconfig.MissingError](err) ||
 		isA[*bfconfig.AmbiguousError](err) || isA[*bfconfig.OverlapError](err) || isA[*bfconfig.EmptyChangeError](err) ||
--- a/lib/bfquery/explain.go
+++ b/lib/bfquery/explain.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"strings"
 
-	"bilberryflow.org/lib/bfquery/bfgrammar"
 	"bilberryflow.org/lib/bfquery/bfresult"
+	"bilberryflow.org/lib/bfquery/bfsyntax"
 )
 
 var candidateColumns = []bfresult.Column{
@@ -19,7 +19,7 @@
 	{Name: "why", Type: bfresult.TypeText},
 }
 
-func (r *run) explain(ctx context.Context, command bfgrammar.Explain) error {
+func (r *run) explain(ctx context.Context, command bfsyntax.Explain) error {
 	at := command.At
 	if at.IsZero() {
 		at = r.backend.Now()
@@ -45,7 +45,7 @@
 	return r.emit(table)
 }
 
-func explanationText(command bfgrammar.Explain, e Explanation) string {
+func explanationText(command bfsyntax.Explain, e Explanation) string {
 	var text strings.Builder
 	fmt.Fprintf(&text, "%s %s by version %d", command.Method, command.Path, e.Version)
 	if e.Route == "" {
--- a/lib/bfquery/plan.go
+++ b/lib/bfquery/plan.go
@@ -2,7 +2,7 @@
 
 import (
 	"bilberryflow.org/lib/bfconfig"
-	"bilberryflow.org/lib/bfquery/bfgrammar"
+	"bilberryflow.org/lib/bfquery/bfsyntax"
 )
 
 // planner resolves edits one after another against a state.
@@ -20,7 +20,7 @@
 }
 
 // Plan resolves edits against base into operations on whole objects.
-func Plan(base *bfconfig.State, edits []bfgrammar.Edit) ([]bfconfig.Op, error) {
+func Plan(base *bfconfig.State, edits []bfsyntax.Edit) ([]bfconfig.Op, error) {
 	p := &planner{base: base, edited: map[bfconfig.Ref]bfconfig.Object{}}
 	ops := make([]bfconfig.Op, 0, len(edits))
 	for _, edit := range edits {
@@ -33,21 +33,21 @@
 	return ops, nil
 }
 
-func (p *planner) op(edit bfgrammar.Edit) (bfconfig.Op, error) {
+func (p *planner) op(edit bfsyntax.Edit) (bfconfig.Op, error) {
 	ref := edit.Ref()
 	current, exists := p.object(ref)
 	switch edit := edit.(type) {
-	case bfgrammar.Create:
+	case bfsyntax.Create:
 		if exists {
 			return nil, &ExistsError{Ref: ref}
 		}
 		return p.put(emptyObject(ref), edit.Fields)
-	case bfgrammar.Change:
+	case bfsyntax.Change:
 		if !exists {
 			return nil, &bfconfig.MissingError{Ref: ref}
 		}
 		return p.put(current, edit.Fields)
-	case bfgrammar.Remove:
+	case bfsyntax.Remove:
 		if !exists {
 			return nil, &bfconfig.MissingError{Ref: ref}
 		}
@@ -57,7 +57,7 @@
 	return nil, &unexpectedError{what: "edit " + edit.String()}
 }
 
-func (p *planner) put(object bfconfig.Object, fields bfgrammar.Fields) (bfconfig.Op, error) {
+func (p *planner) put(object bfconfig.Object, fields bfsyntax.Fields) (bfconfig.Op, error) {
 	next, err := apply(object, fields)
 	if err != nil {
 		return nil, err
@@ -81,21 +81,21 @@
 }
 
 // apply sets the fields named on the object, which is of their kind.
-func apply(object bfconfig.Object, fields bfgrammar.Fields) (bfconfig.Object, error) {
+func apply(object bfconfig.Object, fields bfsyntax.Fields) (bfconfig.Object, error) {
 	switch f := fields.(type) {
-	case bfgrammar.ServiceFields:
+	case bfsyntax.ServiceFields:
 		if o, same := object.(bfconfig.ServiceSpec); same {
 			return f.Apply(o), nil
 		}
-	case bfgrammar.RouteFields:
+	case bfsyntax.RouteFields:
 		if o, same := object.(bfconfig.RouteSpec); same {
 			return f.Apply(o), nil
 		}
-	case bfgrammar.PolicyFields:
+	case bfsyntax.PolicyFields:
 		if o, same := object.(bfconfig.PolicySpec); same {
 			return f.Apply(o), nil
 		}
-	case bfgrammar.EventFields:
+	case bfsyntax.EventFields:
 		if o, same := object.(bfconfig.EventSpec); same {
 			return f.Apply(o), nil
 		}
--- a/lib/bfquery/rows.go
+++ b/lib/bfquery/rows.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"bilberryflow.org/lib/bfconfig"
-	"bilberryflow.org/lib/bfquery/bfgrammar"
 	"bilberryflow.org/lib/bfquery/bfresult"
+	"bilberryflow.org/lib/bfquery/bfsyntax"
 )
 
 // The rows here follow the columns that bfgrammar declares; Table.Check holds them to that.
@@ -51,7 +51,7 @@
 	return objectRows(state, bfconfig.KindEvent, func(e bfconfig.EventSpec, revision bfresult.Cell) row {
 		return row{
 			text(e.Name), text(phase(e, now)), bfresult.TimeCell(e.Start), bfresult.TimeCell(e.End),
-			bfresult.DurationCell(e.WarmUp), bfresult.ListCell(bfgrammar.OverrideTexts(e.Overrides)), revision,
+			bfresult.DurationCell(e.WarmUp), bfresult.ListCell(bfsyntax.OverrideTexts(e.Overrides)), revision,
 		}
 	})
 }
@@ -124,7 +124,7 @@
 func nodeRow(n Node) row {
 	return row{
 		text(n.Instance), text(n.Region), text(n.Domain), number(n.Version),
-		bfresult.FlagCell(n.Reachable), bfresult.DurationCell(n.Age),
+		bfresult.FlagCell(n.Reachable), bfresult.DurationCell(n.Age.Truncate(time.Millisecond)),
 	}
 }
 
--- a/lib/bfquery/run.go
+++ b/lib/bfquery/run.go
@@ -3,15 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"bilberryflow.org/lib/bfconfig"
 	"bilberryflow.org/lib/bfquery/bfgrammar"
 	"bilberryflow.org/lib/bfquery/bfresult"
+	"bilberryflow.org/lib/bfquery/bfsyntax"
 )
 
 // Call is a command with what comes along with it.
 type Call struct {
-	Command bfgrammar.Command
+	Command bfsyntax.Command
 	// ChangeID is the client's ID for a command that needs one.
 	ChangeID string
 	Author   string
@@ -29,36 +31,56 @@
 // An error means that the command was not carried out, or that emit failed; a
 // confirm that was not accepted is an Outcome and no error.
 func Run(ctx context.Context, call Call, backend Backend, emit func(bfresult.Result) error) error {
+	if readsState(call.Command) && !backend.Started() {
+		return &NotStartedError{}
+	}
 	r := &run{Call: call, backend: backend, emit: emit}
 	switch command := call.Command.(type) {
-	case bfgrammar.Stage:
+	case bfsyntax.Stage:
 		return r.stage(ctx, command)
-	case bfgrammar.Show:
+	case bfsyntax.Show:
 		return r.show(ctx, command)
-	case bfgrammar.Diff:
+	case bfsyntax.Diff:
 		return r.diff(ctx, command)
-	case bfgrammar.Confirm:
+	case bfsyntax.Confirm:
 		return r.confirm(ctx, command)
-	case bfgrammar.Discard:
+	case bfsyntax.Discard:
 		return r.discard(ctx, command)
-	case bfgrammar.InForce:
+	case bfsyntax.InForce:
 		return r.inForce(ctx, command)
-	case bfgrammar.Explain:
+	case bfsyntax.Explain:
 		return r.explain(ctx, command)
-	case bfgrammar.History:
+	case bfsyntax.History:
 		return r.history(ctx, command)
-	case bfgrammar.Undo:
+	case bfsyntax.Undo:
 		return r.undo(ctx, command)
-	case bfgrammar.Drain:
+	case bfsyntax.Drain:
 		return r.drain(ctx, command)
-	case bfgrammar.Watch:
+	case bfsyntax.Watch:
 		return r.watch(ctx, command)
-	case bfgrammar.Help:
+	case bfsyntax.Help:
 		return r.message("%s", bfgrammar.HelpText(command.Topic))
 	}
 	return &unexpectedError{what: fmt.Sprintf("command of type %T", call.Command)}
 }
 
+// readsState reports whether the command answers from the node's own version.
+//
+// A node that still waits at its start holds none. Its empty list of routes
+// would read as a fleet that lost its configuration, and a change staged there
+// as one made from nothing.
+func readsState(command bfsyntax.Command) bool {
+	switch c := command.(type) {
+	case bfsyntax.Stage, bfsyntax.Diff, bfsyntax.Explain, bfsyntax.Undo:
+		return true
+	case bfsyntax.Show:
+		return slices.Contains([]bfsyntax.TableName{
+			bfsyntax.TableEvents, bfsyntax.TableServices, bfsyntax.TableRoutes, bfsyntax.TablePolicies,
+		}, c.Table)
+	}
+	return false
+}
+
 func (r *run) message(format string, values ...any) error {
 	return r.emit(bfresult.Message{Text: fmt.Sprintf(format, values...)})
 }
@@ -67,7 +89,7 @@
 	return r.emit(bfresult.Outcome{Status: bfresult.StatusDone, Summary: fmt.Sprintf(format, values...)})
 }
 
-func (r *run) stage(ctx context.Context, command bfgrammar.Stage) error {
+func (r *run) stage(ctx context.Context, command bfsyntax.Stage) error {
 	base := r.backend.State()
 	ops, err := Plan(base, command.Edits)
 	if err != nil {
@@ -95,21 +117,21 @@
 		staged.Name, staged.Base, staged.Name, staged.Name)
 }
 
-func (r *run) discard(ctx context.Context, command bfgrammar.Discard) error {
+func (r *run) discard(ctx context.Context, command bfsyntax.Discard) error {
 	if err := r.backend.Discard(ctx, command.Name); err != nil {
 		return err
 	}
 	return r.done("discarded %s", command.Name)
 }
 
-func (r *run) drain(ctx context.Context, command bfgrammar.Drain) error {
+func (r *run) drain(ctx context.Context, command bfsyntax.Drain) error {
 	if err := r.backend.Drain(ctx, command.Instance); err != nil {
 		return err
 	}
 	return r.done("%s is leaving: no new work, work in flight is finished", command.Instance)
 }
 
-func (r *run) confirm(ctx context.Context, command bfgrammar.Confirm) error {
+func (r *run) confirm(ctx context.Context, command bfsyntax.Confirm) error {
 	id := command.ChangeID
 	if id == "" {
 		id = r.ChangeID
--- a/lib/bfquery/serve.go
+++ b/lib/bfquery/serve.go
@@ -5,6 +5,7 @@
 
 	"bilberryflow.org/lib/bfquery/bfgrammar"
 	"bilberryflow.org/lib/bfquery/bfresult"
+	"bilberryflow.org/lib/bfquery/bfsyntax"
 )
 
 // Serve carries out the commands of a request one after another, up to the
@@ -37,12 +38,12 @@
 }
 
 // calls hands the request's IDs to the commands that need one, in their order.
-func calls(author string, request bfresult.CommandRequest, commands []bfgrammar.Command) []Call {
+func calls(author string, request bfresult.CommandRequest, commands []bfsyntax.Command) []Call {
 	list := make([]Call, 0, len(commands))
 	ids := request.ChangeIDs
 	for _, command := range commands {
 		call := Call{Command: command, Author: author}
-		if bfgrammar.NeedsChangeID(command) && len(ids) > 0 {
+		if bfsyntax.NeedsChangeID(command) && len(ids) > 0 {
 			call.ChangeID, ids = ids[0], ids[1:]
 		}
 		list = append(list, call)
--- a/lib/bfquery/show.go
+++ b/lib/bfquery/show.go
@@ -4,21 +4,21 @@
 	"context"
 	"slices"
 
-	"bilberryflow.org/lib/bfquery/bfgrammar"
 	"bilberryflow.org/lib/bfquery/bfresult"
+	"bilberryflow.org/lib/bfquery/bfsyntax"
 )
 
 // mostVersions bounds what one command reads from the table for show versions:
 // at 96,000 changes a day the whole list would be all that the table could serve.
 const mostVersions = 1000
 
-func (r *run) show(ctx context.Context, command bfgrammar.Show) error {
+func (r *run) show(ctx context.Context, command bfsyntax.Show) error {
 	rows, err := r.rows(ctx, command)
 	if err != nil {
 		return err
 	}
-	cut := command.Table == bfgrammar.TableVersions && len(rows) == mostVersions
-	table := bfresult.Table{Name: string(command.Table), Columns: bfgrammar.Columns(command.Table), Rows: rows}
+	cut := command.Table == bfsyntax.TableVersions && len(rows) == mostVersions
+	table := bfresult.Table{Name: string(command.Table), Columns: bfsyntax.Columns(command.Table), Rows: rows}
 	if err := table.Check(); err != nil {
 		return err
 	}
@@ -35,7 +35,7 @@
 }
 
 // choose filters, orders and limits rows; rows that compare equal keep their order.
-func choose(command bfgrammar.Show, rows [][]bfresult.Cell) ([][]bfresult.Cell, error) {
+func choose(command bfsyntax.Show, rows [][]bfresult.Cell) ([][]bfresult.Cell, error) {
 	filter, err := command.Filter()
 	if err != nil {
 		return nil, err
@@ -53,29 +53,29 @@
 	return chosen, nil
 }
 
-func (r *run) rows(ctx context.Context, command bfgrammar.Show) ([][]bfresult.Cell, error) {
+func (r *run) rows(ctx context.Context, command bfsyntax.Show) ([][]bfresult.Cell, error) {
 	switch command.Table {
-	case bfgrammar.TableEvents:
+	case bfsyntax.TableEvents:
 		return eventRows(r.backend.State(), r.backend.Now())
-	case bfgrammar.TableServices:
+	case bfsyntax.TableServices:
 		return serviceRows(r.backend.State())
-	case bfgrammar.TableRoutes:
+	case bfsyntax.TableRoutes:
 		return routeRows(r.backend.State())
-	case bfgrammar.TablePolicies:
+	case bfsyntax.TablePolicies:
 		return policyRows(r.backend.State())
-	case bfgrammar.TableMembers:
+	case bfsyntax.TableMembers:
 		members, err := r.backend.Members(ctx)
 		return sortedRows(members, memberRow), err
-	case bfgrammar.TableTargets:
+	case bfsyntax.TableTargets:
 		targets, err := r.backend.Targets(ctx)
 		return sortedRows(targets, targetRow), err
-	case bfgrammar.TableNodes:
+	case bfsyntax.TableNodes:
 		nodes, err := r.backend.Nodes(ctx)
 		return sortedRows(nodes, nodeRow), err
-	case bfgrammar.TableStaged:
+	case bfsyntax.TableStaged:
 		staged, err := r.backend.StagedList(ctx)
 		return sortedRows(staged, stagedRow), err
-	case bfgrammar.TableVersions:
+	case bfsyntax.TableVersions:
 		versions, err := r.backend.Versions(ctx, versionLimit(command))
 		return rowsOf(versions, versionRow), err
 	}
@@ -83,7 +83,7 @@
 }
 
 // versionLimit reads no more versions than are shown, where no condition or order needs more.
-func versionLimit(command bfgrammar.Show) int {
+func versionLimit(command bfsyntax.Show) int {
 	if command.Limit == 0 || command.Where != nil || command.Order != nil {
 		return mostVersions
 	}
--- a/lib/bfquery/undo.go
+++ b/lib/bfquery/undo.go
@@ -5,14 +5,14 @@
 	"fmt"
 
 	"bilberryflow.org/lib/bfconfig"
-	"bilberryflow.org/lib/bfquery/bfgrammar"
+	"bilberryflow.org/lib/bfquery/bfsyntax"
 )
 
 // undo stages what takes a version's change back.
 //
 // It is staged and not committed at once since an operator who undoes is in a
 // hurry: diff shows what will happen, and confirm is one more word.
-func (r *run) undo(ctx context.Context, command bfgrammar.Undo) error {
+func (r *run) undo(ctx context.Context, command bfsyntax.Undo) error {
 	base := r.backend.State()
 	ops, err := r.backend.VersionOps(ctx, command.Version)
 	if err != nil {
--- a/lib/bfrender/text.go
+++ b/lib/bfrender/text.go
@@ -94,7 +94,7 @@
 }
 
 func progressText(p bfresult.Progress) string {
-	text := fmt.Sprintf("%8s  version %d held by %d of %d nodes", bfresult.FormatDuration(p.Elapsed), p.Version, p.Held, p.Nodes)
+	text := fmt.Sprintf("%8s  version %d in force on %d of %d nodes", bfresult.FormatDuration(p.Elapsed), p.Version, p.Held, p.Nodes)
 	if p.Held < p.Nodes-p.Unreachable {
 		text += fmt.Sprintf(", oldest %d", p.Oldest)
 	}
@@ -110,11 +110,20 @@
 		text += "; try again in " + bfresult.FormatDuration(o.RetryAfter)
 	}
 	if o.ChangeID != "" && !strings.Contains(o.Summary, o.ChangeID) {
-		text += " (change " + clean(o.ChangeID) + ")"
+		text += " (" + idName(o.Status) + " " + clean(o.ChangeID) + ")"
 	}
 	return text
 }
 
+// idName tells an ID that can be asked for again from one of another change,
+// which is found in the list of versions.
+func idName(status bfresult.Status) string {
+	if status == bfresult.StatusConflict {
+		return "change"
+	}
+	return "id"
+}
+
 func failureText(f bfresult.Failure) string {
 	text := clean(string(f.Kind)) + ": " + cleanLines(f.Message)
 	if f.Column < 1 || f.Excerpt == "" {
--- a/lib/bfspread/poll.go
+++ b/lib/bfspread/poll.go
@@ -14,7 +14,13 @@
 	slowdown float64
 }
 
-const maxSlowdown = 8
+const (
+	maxSlowdown = 8
+	// maxOrphans is how many versions a node may find that nobody told of. One
+	// that lacks more was away itself: in a herd that returns, the member it
+	// asked may lack them too, and it would push the history to the whole fleet.
+	maxOrphans = 16
+)
 
 // resetPoll draws the next read.
 //
@@ -44,8 +50,8 @@
 		return s.out
 	}
 	s.poll.slowdown = 1
-	if version > s.state.Version() {
-		s.pull.discovered = s.pull.discovered || version > s.pull.want.Version
+	if held := s.state.Version(); version > held {
+		s.pull.discovered = s.pull.discovered || version > s.pull.want.Version && version-held <= maxOrphans
 		s.expect(now, Head{Version: version}, 0)
 	}
 	return s.out
--- a/lib/bfspread/pull.go
+++ b/lib/bfspread/pull.go
@@ -190,7 +190,7 @@
 	}
 }
 
-func (s *Spreader) onBusy(now time.Time, busy Busy) {
+func (s *Spreader) onBusy(now time.Time, from uint64, busy Busy) {
 	if s.refusal.nonce != 0 && busy.Nonce == s.refusal.nonce {
 		s.refusal.nonce = 0
 		return
@@ -199,10 +199,16 @@
 		return
 	}
 	// A busy member is no failure: counted as one it would send the whole herd
-	// on to the store.
+	// on to the store. Another may be free, so the wait starts short and grows to
+	// what the busy one asked for; then it comes before members drawn by chance,
+	// who may be of the herd themselves.
 	s.pull.nonce = 0
-	wait := min(max(time.Duration(busy.RetryAfter)*time.Millisecond, s.options.Backoff/4), s.options.MaxBackoff)
-	s.pull.due = now.Add(s.jitter(wait, wait))
+	if len(s.pull.tellers) < maxTellers {
+		s.pull.tellers = slices.Insert(s.pull.tellers, 0, from)
+	}
+	asked := time.Duration(busy.RetryAfter) * time.Millisecond
+	s.pull.wait = min(max(2*s.pull.wait, s.options.Backoff/2), max(asked, s.options.Backoff/2), s.options.MaxBackoff)
+	s.pull.due = now.Add(s.jitter(s.pull.wait, s.pull.wait))
 }
 
 func (s *Spreader) onSnapshot(now time.Time, answer Snapshot) {
--- a/lib/bfspread/spreader.go
+++ b/lib/bfspread/spreader.go
@@ -123,7 +123,7 @@
 	case Snapshot:
 		s.onSnapshot(now, message)
 	case Busy:
-		s.onBusy(now, message)
+		s.onBusy(now, from, message)
 	case Census:
 		s.onCensus(now, message)
 	case CensusAnswer:
