Building a view no longer sorts

Cause: each version builds a view of all routes, and both the view and the schedule sorted them by name, which a map does not need; the schedule's map grew step by step. Ruled out: copying the specs (resolve is 9 % of the time).

--- a/lib/bfconfig/state.go
+++ b/lib/bfconfig/state.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"iter"
 	"maps"
 	"slices"
 )
@@ -49,6 +50,18 @@
 // Revision is the version that last put the object that ref names, 0 where there is none.
 func (s *State) Revision(ref Ref) Version { return s.objects[ref].revision }
 
+// All gives the objects of a kind in no order, for those who need none: sorting
+// thousands of them is most of what building a view would cost.
+func (s *State) All(kind Kind) iter.Seq[Object] {
+	return func(yield func(Object) bool) {
+		for ref, e := range s.objects {
+			if ref.Kind == kind && !yield(e.object) {
+				return
+			}
+		}
+	}
+}
+
 // Objects lists the objects of a kind by name.
 func (s *State) Objects(kind Kind) []Object {
 	var list []Object
--- a/lib/bfevent/schedule.go
+++ b/lib/bfevent/schedule.go
@@ -46,8 +46,8 @@
 // An error means that state is not closed, which bfconfig rules out; it is
 // returned so that a fault there keeps the older version in force.
 func NewSchedule(state *bfconfig.State) (*Schedule, error) {
-	s := &Schedule{version: state.Version(), routes: map[string]standing{}}
-	for _, object := range state.Objects(bfconfig.KindRoute) {
+	s := &Schedule{version: state.Version(), routes: make(map[string]standing, state.Len())}
+	for object := range state.All(bfconfig.KindRoute) {
 		route := object.(bfconfig.RouteSpec)
 		policy, err := policyOf(state, route.Ref(), route.Policy)
 		if err != nil {
--- a/lib/bfroute/view.go
+++ b/lib/bfroute/view.go
@@ -40,7 +40,7 @@
 		return nil, err
 	}
 	v := &View{version: state.Version(), root: &node{}, events: events}
-	for _, object := range state.Objects(bfconfig.KindRoute) {
+	for object := range state.All(bfconfig.KindRoute) {
 		resolved, err := resolve(state, object.(bfconfig.RouteSpec))
 		if err != nil {
 			return nil, err
--- a/lib/bfroute/view_test.go
+++ b/lib/bfroute/view_test.go
@@ -234,3 +234,25 @@
 		t.Fatalf("%v allocations a match", n)
 	}
 }
+
+// The configuration of the fleet in two years: 5,000 objects, built anew with each version.
+func BenchmarkNewView(b *testing.B) {
+	var ops []bfconfig.Op
+	for i := range 810 {
+		ops = append(ops, bfconfig.Put{Object: bfconfig.ServiceSpec{Name: fmt.Sprintf("s%d", i), Slots: 4}})
+	}
+	ops = append(ops, bfconfig.Put{Object: bfconfig.PolicySpec{Name: "p", Class: "c", Deadline: time.Second}})
+	for i := range 4189 {
+		ops = append(ops, bfconfig.Put{Object: bfconfig.RouteSpec{Name: fmt.Sprintf("r%d", i), Prefix: fmt.Sprintf("/a%d/b%d", i%100, i), Service: fmt.Sprintf("s%d", i%810), Policy: "p"}})
+	}
+	state, _, err := bfconfig.Empty().Propose(bfconfig.NewChange("x", "a", time.Now(), ops))
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := NewView(state); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
