--- a/bftrial/internal/bfspike/load.go
+++ b/bftrial/internal/bfspike/load.go
@@ -155,11 +155,11 @@
 	})
 }
 
-// record keeps the sample and has a refused caller come back once.
+// record keeps the sample and has a refused caller come back once; naive callers have come back at once already.
 func (l *load) record(s sample, retryAfter time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if s.outcome == refused && !s.returned {
+	if _, obeys := l.policy.(mesh); obeys && s.outcome == refused && !s.returned {
 		due := s.done + retryAfter
 		s.noReturn = due >= l.end
 		if !s.noReturn {
--- a/lib/bfcontrol/directory.go
+++ b/lib/bfcontrol/directory.go
@@ -27,8 +27,8 @@
 }
 
 // stale says who lacks changes. Most changes are suspicions and their
-// refutations, which neither of them looks at; each share of a fleet of 25,000
-// costs 35 ms of processor time, so those are left out.
+// refutations, which neither of them looks at; a share at 25,000 members costs
+// some 30 ms of processor time, so those are left out.
 type stale struct{ directory, recovery bool }
 
 func (s stale) any() bool { return s.directory || s.recovery }
@@ -38,10 +38,9 @@
 	// change after a quiet time is shared at once; the members of a lost domain
 	// come one by one, and each share goes through the whole fleet.
 	shareInterval = 250 * time.Millisecond
-	// sharePerMember stretches the interval with the fleet, to two seconds at
-	// 25,000, where a share takes some 15 ms: under a hundredth of a core even
-	// while members change all the time.
-	sharePerMember = 80 * time.Microsecond
+	// sharePerMember stretches the interval with the fleet, to three seconds at
+	// 25,000: a hundredth of a core even while members change all the time.
+	sharePerMember = 120 * time.Microsecond
 )
 
 // next is when a changed membership is shared, the zero time where none waits.
--- a/lib/bfforward/client.go
+++ b/lib/bfforward/client.go
@@ -92,7 +92,9 @@
 }
 
 func (c *Client) transport() *http.Transport {
-	const idlePerPeer = 64
+	// What is open in a spike's first moments is needed in the next; IdleTimeout
+	// takes the rest back. A lower number would close and open them all through it.
+	const idlePerPeer = 256
 	t := &http.Transport{
 		DialContext:         c.dial,
 		MaxIdleConnsPerHost: idlePerPeer,
