The fleet is told the target's present state, in order

Cause: a node frozen for some seconds saw its target silent and back within a millisecond on waking; each telling ran in its own goroutine, and the older one could arrive last, so the fleet held a working target silent for good. Ruled out by the log: refutation (a higher sequence brought the member back). Its unit test fails without the lock. Earlier, one full run of the proofs ended in a panic of a test that had already failed for a reason its cut log did not show; the watch now ends with its test.

--- a/bfnode/internal/bfcommand/node.go
+++ b/bfnode/internal/bfcommand/node.go
@@ -50,6 +50,7 @@
 	client   *bfforward.Client
 	control  *bfcontrol.Control
 	guard    *bfguard.Guard
+	teller   teller
 	entry    *bfcaller.Entry
 	caller   *bfcaller.Handler
 	operator *bfoperator.Handler
@@ -77,6 +78,7 @@
 	methods := bfpeer.Methods{}
 	n.calls = bfpeer.NewCalls(methods, traffic, n.group)
 	n.newGuard(minter, directory)
+	n.newTeller()
 	if err := n.newControl(directory, traffic, methods); err != nil {
 		return nil, err
 	}
@@ -95,6 +97,13 @@
 	})
 }
 
+func (n *node) newTeller() {
+	n.teller.status = func() bfguard.Status { return n.guard.Status(n.timer.Now()) }
+	n.teller.tell = func(ctx context.Context, status bfguard.Status) error {
+		return n.control.SetTarget(ctx, status.State, status.Slots)
+	}
+}
+
 // newControl needs the guard, whose calls it answers beside its own.
 func (n *node) newControl(directory *bfdirectory.Directory, traffic *bfpeer.Traffic, methods bfpeer.Methods) error {
 	datagrams, err := bfpeer.ListenDatagrams(n.settings.Listen.Peer, traffic)
@@ -154,11 +163,11 @@
 	return 0
 }
 
-// tell tells the fleet what the target beside this node does.
-func (n *node) tell(state bfmember.TargetState, slots int) {
+// tell has the fleet told of a change of the target's state.
+func (n *node) tell(bfmember.TargetState, int) {
 	n.group.Go("tell target state", func(ctx context.Context) error {
 		// It ends only with the node, which then tells that it leaves.
-		_ = n.control.SetTarget(ctx, state, slots)
+		_ = n.teller.run(ctx)
 		return nil
 	})
 }
--- /dev/null
+++ b/bfnode/internal/bfcommand/teller_test.go
@@ -0,0 +1,47 @@
+package bfcommand
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bilberryflow.org/lib/bfguard"
+	"bilberryflow.org/lib/bfmember"
+)
+
+// The target falls silent and comes back while the first telling is still on its
+// way. Whatever overtakes what, the fleet must be left with the present state,
+// or it would send no more requests to a target that works.
+func TestTellerEndsWithThePresentState(t *testing.T) {
+	is := is.New(t)
+	var state atomic.Int32
+	var told bfmember.TargetState
+	first, both, second := make(chan struct{}), make(chan struct{}), make(chan struct{}, 2)
+	var once sync.Once
+	teller := &teller{
+		status: func() bfguard.Status { return bfguard.Status{State: bfmember.TargetState(state.Load())} },
+		tell: func(_ context.Context, status bfguard.Status) error {
+			once.Do(func() { close(first); <-both })
+			told = status.State
+			second <- struct{}{}
+			return nil
+		},
+	}
+	state.Store(int32(bfmember.TargetSilent))
+	var wait sync.WaitGroup
+	wait.Go(func() { is.NoErr(teller.run(context.Background())) })
+	<-first
+	state.Store(int32(bfmember.TargetReady))
+	wait.Go(func() { is.NoErr(teller.run(context.Background())) })
+	select {
+	case <-second: // it overtook the first, which the teller is to prevent
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(both)
+	wait.Wait()
+	is.Equal(told, bfmember.TargetReady)
+}
--- a/bftrial/internal/bfproof/config_test.go
+++ b/bftrial/internal/bfproof/config_test.go
@@ -17,12 +17,14 @@
 type watch struct {
 	w    *world
 	stop chan struct{}
+	once sync.Once
 	wait sync.WaitGroup
 	most map[string]float64
 }
 
 func startWatch(w *world) *watch {
 	s := &watch{w: w, stop: make(chan struct{}), most: map[string]float64{}}
+	w.t.Cleanup(s.end)
 	s.wait.Go(func() {
 		for {
 			select {
@@ -52,7 +54,7 @@
 }
 
 func (s *watch) end() {
-	close(s.stop)
+	s.once.Do(func() { close(s.stop) })
 	s.wait.Wait()
 }
 
--- a/bftrial/internal/bfspike/report.go
+++ b/bftrial/internal/bfspike/report.go
@@ -140,7 +140,8 @@
 func draw(path, title string, reports []Report) error {
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "s", "share of the slots' capacity"
-	p.Y.Min, p.Y.Max = 0, 1.1
+	// The legend has the part above.
+	p.Y.Min, p.Y.Max = 0, 1.5
 	p.Legend.Top = true
 	colors := []color.Color{color.RGBA{B: 200, A: 255}, color.RGBA{R: 200, A: 255}}
 	for i, r := range reports {
