--- a/bfnode/internal/bfcommand/teller_test.go
+++ b/bfnode/internal/bfcommand/teller_test.go
@@ -21,11 +21,14 @@
 	var state atomic.Int32
 	var told bfmember.TargetState
 	first, both, second := make(chan struct{}), make(chan struct{}), make(chan struct{}, 2)
-	var once sync.Once
+	var held atomic.Bool
 	teller := &teller{
 		status: func() bfguard.Status { return bfguard.Status{State: bfmember.TargetState(state.Load())} },
 		tell: func(_ context.Context, status bfguard.Status) error {
-			once.Do(func() { close(first); <-both })
+			if held.CompareAndSwap(false, true) {
+				close(first)
+				<-both
+			}
 			told = status.State
 			second <- struct{}{}
 			return nil
