--- a/bfnode/internal/bfcommand/command.go
+++ b/bfnode/internal/bfcommand/command.go
@@ -9,6 +9,7 @@
 	"github.com/go-kratos/kratos/v2/transport"
 
 	"bilberryflow.org/lib/bfannounce"
+	"bilberryflow.org/lib/bfcaller"
 	"bilberryflow.org/lib/bflog"
 	"bilberryflow.org/lib/bfprogram"
 	"bilberryflow.org/lib/bfserver"
@@ -82,6 +83,9 @@
 	return append(servers, operator), nil
 }
 
+// warmUpSpread keeps nodes from opening connections at the same moment.
+const warmUpSpread = 0.5
+
 // Start runs the control plane until Stop.
 func (n *node) Start(context.Context) error {
 	n.group.Go("timer", n.timer.Run)
@@ -89,7 +93,7 @@
 	n.group.Go("control", n.control.Run)
 	n.timer.Every(func() time.Duration { return bfannounce.Heartbeat / 2 }, n.guard.Observe)
 	n.timer.Every(func() time.Duration { return sweepInterval }, n.sweep)
-	n.timer.Every(func() time.Duration { return warmInterval }, n.entry.WarmUp)
+	n.timer.Every(n.timer.Jittered(bfcaller.WarmUpInterval, warmUpSpread), n.entry.WarmUp)
 	return n.group.Wait()
 }
 
--- a/bfnode/internal/bfcommand/node.go
+++ b/bfnode/internal/bfcommand/node.go
@@ -16,11 +16,11 @@
 	"bilberryflow.org/lib/bfgroup"
 	"bilberryflow.org/lib/bfguard"
 	"bilberryflow.org/lib/bflog"
-	"bilberryflow.org/lib/bfmember"
 	"bilberryflow.org/lib/bfmetric"
 	"bilberryflow.org/lib/bfoperator"
 	"bilberryflow.org/lib/bfpeer"
 	"bilberryflow.org/lib/bfrecord"
+	"bilberryflow.org/lib/bfroster"
 	"bilberryflow.org/lib/bfroute"
 	"bilberryflow.org/lib/bftable"
 	"bilberryflow.org/lib/bftimer"
@@ -29,9 +29,6 @@
 const (
 	// sweepInterval is how often connections that nobody uses are closed.
 	sweepInterval = 10 * time.Second
-	// warmInterval is how often connections are opened before an event; it is
-	// shorter than the time for which an unused one is kept.
-	warmInterval = 10 * time.Second
 	// connectionIdle is how long a connection to a peer is kept unused.
 	connectionIdle = 30 * time.Second
 )
@@ -88,10 +85,9 @@
 }
 
 func (n *node) newGuard(minter *bfrecord.Minter, directory *bfdirectory.Directory) {
-	options := bfforward.DefaultOptions()
 	n.guard = bfguard.New(bfguard.Parts{
 		Home: n.home, Service: n.settings.Service, ColdStart: n.coldStart,
-		View: n.view, Client: bfforward.New(options), Minter: minter,
+		View: n.view, Client: bfforward.New(bfforward.TargetOptions()), Minter: minter,
 		Timer: n.timer, Logger: n.logger, Metrics: n.metrics, Tell: n.tell,
 		Table: n.platform, Directory: directory, Resolver: bfguard.Resolver{Calls: n.calls}, Spawn: n.group.Go,
 	})
@@ -127,9 +123,9 @@
 	return nil
 }
 
-func (n *node) row() bfmember.Row {
+func (n *node) row() bfroster.Row {
 	s := n.settings
-	return bfmember.Row{
+	return bfroster.Row{
 		ID: s.Instance, Region: s.Region, Domain: s.FailureDomain, Service: s.Service,
 		Peer: s.Listen.Peer, Inbound: s.Listen.Inbound, Incarnation: n.home.Incarnation,
 	}
@@ -164,7 +160,7 @@
 }
 
 // tell has the fleet told of a change of the target's state.
-func (n *node) tell(bfmember.TargetState, int) {
+func (n *node) tell(bfroster.TargetState, int) {
 	n.group.Go("tell target state", func(ctx context.Context) error {
 		// It ends only with the node, which then tells that it leaves.
 		_ = n.teller.run(ctx)
--- a/lib/bfbackend/backend.go
+++ b/lib/bfbackend/backend.go
@@ -6,13 +6,13 @@
 
 	"bilberryflow.org/lib/bfcommit"
 	"bilberryflow.org/lib/bfconfig"
+	"bilberryflow.org/lib/bfcount"
 	"bilberryflow.org/lib/bfdirectory"
 	"bilberryflow.org/lib/bflog"
-	"bilberryflow.org/lib/bfmember"
 	"bilberryflow.org/lib/bfpeer"
 	"bilberryflow.org/lib/bfquery"
+	"bilberryflow.org/lib/bfroster"
 	"bilberryflow.org/lib/bfroute"
-	"bilberryflow.org/lib/bfspread"
 	"bilberryflow.org/lib/bfstore"
 	"bilberryflow.org/lib/bftimer"
 )
@@ -26,11 +26,11 @@
 	// View is the view in force, nil before the node has one.
 	View() *bfroute.View
 	// Order is the membership now.
-	Order() *bfmember.Order
+	Order() *bfroster.Order
 	// Heard tells the newest version each member was heard to hold, and how long ago.
 	Heard(ctx context.Context) (map[uint64]bfconfig.Version, map[uint64]time.Duration, error)
 	// Census asks the whole fleet what is in force.
-	Census(ctx context.Context, wait time.Duration) (bfspread.Tally, error)
+	Census(ctx context.Context, wait time.Duration) (bfcount.Tally, error)
 	// Committed tells of a version that this node's commit made.
 	Committed(ctx context.Context, delta []byte) error
 }
--- a/lib/bfbackend/census.go
+++ b/lib/bfbackend/census.go
@@ -8,13 +8,13 @@
 	"time"
 
 	"bilberryflow.org/lib/bfconfig"
-	"bilberryflow.org/lib/bfmember"
+	"bilberryflow.org/lib/bfcount"
 	"bilberryflow.org/lib/bfpeer"
 	"bilberryflow.org/lib/bfquery"
 	"bilberryflow.org/lib/bfquery/bfcensus"
 	"bilberryflow.org/lib/bfquery/bfsyntax"
+	"bilberryflow.org/lib/bfroster"
 	"bilberryflow.org/lib/bfroute"
-	"bilberryflow.org/lib/bfspread"
 )
 
 // censusWait is how long the fleet, or one node, has to answer.
@@ -41,7 +41,7 @@
 	return census, nil
 }
 
-func versionsOf(tally bfspread.Tally) map[bfconfig.Version]int {
+func versionsOf(tally bfcount.Tally) map[bfconfig.Version]int {
 	versions := map[bfconfig.Version]int{}
 	for _, count := range tally.Versions {
 		versions[count.Version] += count.Members
@@ -53,7 +53,7 @@
 type parts map[string][]string
 
 // partsOf finds the domains of the members in the scope.
-func partsOf(order *bfmember.Order, scope bfsyntax.Scope) parts {
+func partsOf(order *bfroster.Order, scope bfsyntax.Scope) parts {
 	p := parts{}
 	for rank := range order.Len() {
 		row := order.At(rank).Row()
@@ -64,7 +64,7 @@
 	return p
 }
 
-func inScope(scope bfsyntax.Scope, row *bfmember.Row) bool {
+func inScope(scope bfsyntax.Scope, row *bfroster.Row) bool {
 	switch s := scope.(type) {
 	case bfsyntax.InDomain:
 		return row.Domain == s.Domain
@@ -76,7 +76,7 @@
 
 // count sums the tally up for the domains. The tally knows domains by name
 // alone: one that two regions have is counted over both.
-func (p parts) count(tally bfspread.Tally) []bfcensus.Domain {
+func (p parts) count(tally bfcount.Tally) []bfcensus.Domain {
 	counted := map[string]*bfcensus.Domain{}
 	for name, regions := range p {
 		counted[name] = &bfcensus.Domain{Region: strings.Join(regions, ", "), Domain: name}
@@ -143,7 +143,7 @@
 	return bfcensus.Census{Domains: []bfcensus.Domain{domain}, Versions: versions}, nil
 }
 
-func (b *Backend) askInForce(ctx context.Context, row *bfmember.Row) (*inForceReply, error) {
+func (b *Backend) askInForce(ctx context.Context, row *bfroster.Row) (*inForceReply, error) {
 	if row.ID == b.parts.Control.Self() {
 		return replyOf(b.parts.Control.View()), nil
 	}
--- a/lib/bfbackend/fleet.go
+++ b/lib/bfbackend/fleet.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 
-	"bilberryflow.org/lib/bfmember"
 	"bilberryflow.org/lib/bfquery"
+	"bilberryflow.org/lib/bfroster"
 )
 
 // Members lists the members that the node knows.
@@ -26,7 +26,7 @@
 	order := b.parts.Control.Order()
 	var list []bfquery.Target
 	for rank := range order.Len() {
-		if row := order.At(rank).Row(); row.Target != bfmember.TargetNone {
+		if row := order.At(rank).Row(); row.Target != bfroster.TargetNone {
 			list = append(list, b.target(row))
 		}
 	}
@@ -34,7 +34,7 @@
 }
 
 // target is a row with the load that this node has last heard of.
-func (b *Backend) target(row *bfmember.Row) bfquery.Target {
+func (b *Backend) target(row *bfroster.Row) bfquery.Target {
 	target := bfquery.Target{
 		Instance: row.ID, Service: row.Service, Domain: row.Domain, State: row.Target.String(), Slots: int(row.Slots),
 	}
--- a/lib/bfcontrol/ask.go
+++ b/lib/bfcontrol/ask.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"bilberryflow.org/lib/bfconfig"
-	"bilberryflow.org/lib/bfmember"
-	"bilberryflow.org/lib/bfspread"
+	"bilberryflow.org/lib/bfcount"
+	"bilberryflow.org/lib/bfroster"
 )
 
 // Committed tells of a version that this node's commit made.
@@ -15,21 +15,21 @@
 }
 
 // Census asks the whole fleet what is in force.
-func (c *Control) Census(ctx context.Context, wait time.Duration) (bfspread.Tally, error) {
-	answer := make(chan bfspread.Tally, 1)
+func (c *Control) Census(ctx context.Context, wait time.Duration) (bfcount.Tally, error) {
+	answer := make(chan bfcount.Tally, 1)
 	err := c.loop.Ask(ctx, func(now time.Time) {
 		id, actions := c.spreader.Census(now, wait)
-		c.census[id] = func(t bfspread.Tally) { answer <- t }
+		c.census[id] = func(t bfcount.Tally) { answer <- t }
 		c.spreadActions(now, "", actions)
 	})
 	if err != nil {
-		return bfspread.Tally{}, err
+		return bfcount.Tally{}, err
 	}
 	select {
 	case tally := <-answer:
 		return tally, nil
 	case <-ctx.Done():
-		return bfspread.Tally{}, ctx.Err()
+		return bfcount.Tally{}, ctx.Err()
 	}
 }
 
@@ -45,7 +45,7 @@
 }
 
 // SetTarget tells the fleet of a change of the node's own target.
-func (c *Control) SetTarget(ctx context.Context, state bfmember.TargetState, slots int) error {
+func (c *Control) SetTarget(ctx context.Context, state bfroster.TargetState, slots int) error {
 	return c.loop.Ask(ctx, func(now time.Time) {
 		c.memberActions(now, c.members.SetTarget(now, state, uint32(slots)))
 	})
--- a/lib/bfcontrol/control.go
+++ b/lib/bfcontrol/control.go
@@ -12,13 +12,16 @@
 	"golang.org/x/time/rate"
 
 	"bilberryflow.org/lib/bfconfig"
+	"bilberryflow.org/lib/bfcount"
 	"bilberryflow.org/lib/bfdirectory"
+	"bilberryflow.org/lib/bfgossip"
 	"bilberryflow.org/lib/bfgroup"
 	"bilberryflow.org/lib/bflog"
 	"bilberryflow.org/lib/bfloop"
 	"bilberryflow.org/lib/bfmember"
 	"bilberryflow.org/lib/bfmetric"
 	"bilberryflow.org/lib/bfpeer"
+	"bilberryflow.org/lib/bfroster"
 	"bilberryflow.org/lib/bfroute"
 	"bilberryflow.org/lib/bfspread"
 	"bilberryflow.org/lib/bfstore"
@@ -39,7 +42,7 @@
 // Parts is what a Control works with.
 type Parts struct {
 	// Self is the node's own row of the membership.
-	Self bfmember.Row
+	Self bfroster.Row
 	// Seeds are peers' addresses from the settings.
 	Seeds     []string
 	Profile   Profile
@@ -76,7 +79,7 @@
 	peers map[string]uint64
 	// heard is the newest head each member was heard to hold.
 	heard  map[uint64]heardHead
-	census map[uint32]func(bfspread.Tally)
+	census map[uint32]func(bfcount.Tally)
 	// deliveries bounds the large messages that wait for the loop.
 	deliveries chan struct{}
 
@@ -108,7 +111,7 @@
 		parts: parts, members: members,
 		spreader: bfspread.New(parts.Profile.Spread, parts.Self, bfconfig.Empty(), rng),
 		rand:     rng, peers: map[string]uint64{}, heard: map[uint64]heardHead{},
-		census:      map[uint32]func(bfspread.Tally){},
+		census:      map[uint32]func(bfcount.Tally){},
 		deliveries:  make(chan struct{}, maxDeliveries),
 		undecodable: parts.Metrics.Counter("control_undecodable"),
 		reports:     rate.NewLimiter(reportRate, reportBurst),
@@ -138,7 +141,7 @@
 func (c *Control) Self() string { return c.parts.Self.ID }
 
 // Order is the membership now.
-func (c *Control) Order() *bfmember.Order { return c.members.Order() }
+func (c *Control) Order() *bfroster.Order { return c.members.Order() }
 
 // Run serves the control plane until ctx ends.
 //
@@ -199,7 +202,7 @@
 	for _, action := range actions {
 		switch a := action.(type) {
 		case bfmember.Send:
-			data, err := bfmember.Encode(a.Message)
+			data, err := bfgossip.Encode(a.Message)
 			c.send(a.Address, memberPurpose(a.Message), data, err)
 		case bfmember.Heard:
 			c.heardFrom(now, a)
@@ -259,11 +262,11 @@
 	case a.Old.ID == "" && a.New.State.Present():
 		c.parts.Logger.Emit(bflog.MemberJoined, instance)
 	case a.Old.State == a.New.State:
-	case a.New.State == bfmember.Suspect:
+	case a.New.State == bfroster.Suspect:
 		c.parts.Logger.Emit(bflog.MemberSuspected, instance)
-	case a.New.State == bfmember.Dead:
+	case a.New.State == bfroster.Dead:
 		c.parts.Logger.Emit(bflog.MemberDead, instance)
-	case a.New.State == bfmember.Left:
+	case a.New.State == bfroster.Left:
 		c.parts.Logger.Emit(bflog.MemberLeft, instance)
 	}
 }
--- a/lib/bfcontrol/directory.go
+++ b/lib/bfcontrol/directory.go
@@ -9,6 +9,7 @@
 	"bilberryflow.org/lib/bfdirectory"
 	"bilberryflow.org/lib/bfmember"
 	"bilberryflow.org/lib/bfrecord"
+	"bilberryflow.org/lib/bfroster"
 )
 
 // coldTarget is when a member's target was first seen cold in its incarnation.
@@ -20,7 +21,7 @@
 // share is how the membership comes to those who route by it.
 type share struct {
 	// order is the one that the spreader has; the others may lack its changes.
-	order *bfmember.Order
+	order *bfroster.Order
 	stale stale
 	at    time.Time
 	cold  map[string]coldTarget
@@ -82,7 +83,7 @@
 
 // changeShare keeps the addresses of present members, and notes who lacks the change.
 func (c *Control) changeShare(a bfmember.Changed) {
-	hash, present := bfmember.HashID(a.New.ID), a.New.State.Present()
+	hash, present := bfroster.HashID(a.New.ID), a.New.State.Present()
 	if c.peers[a.Old.Peer] == hash {
 		delete(c.peers, a.Old.Peer)
 	}
@@ -101,7 +102,7 @@
 }
 
 // swapDirectory gives the order to the request path in its own terms.
-func (c *Control) swapDirectory(now time.Time, order *bfmember.Order) {
+func (c *Control) swapDirectory(now time.Time, order *bfroster.Order) {
 	members := make([]bfdirectory.Member, 0, order.Len())
 	cold := map[string]coldTarget{}
 	for rank := range order.Len() {
@@ -117,26 +118,26 @@
 }
 
 // target tells the state of a member's target, and adds one that is cold to cold.
-func (c *Control) target(now time.Time, row *bfmember.Row, cold map[string]coldTarget) bfchoice.Member {
+func (c *Control) target(now time.Time, row *bfroster.Row, cold map[string]coldTarget) bfchoice.Member {
 	member := bfchoice.Member{ID: row.ID, FailureDomain: row.Domain, Slots: int(row.Slots), State: bfchoice.Silent}
 	switch row.Target {
-	case bfmember.TargetReady:
+	case bfroster.TargetReady:
 		member.State = bfchoice.Ready
-	case bfmember.TargetCold:
+	case bfroster.TargetCold:
 		member.State = bfchoice.Cold
 		cold[row.ID] = c.coldTarget(now, row)
 		member.ColdSince = cold[row.ID].since
 		member.ColdStart = c.coldStart(row.Service)
-	case bfmember.TargetLeaving:
+	case bfroster.TargetLeaving:
 		member.State = bfchoice.Leaving
-	case bfmember.TargetNone, bfmember.TargetSilent:
+	case bfroster.TargetNone, bfroster.TargetSilent:
 	}
 	return member
 }
 
 // coldTarget holds the start of a ramp: were it taken anew with each change of
 // the membership, a cold target would never be seen warm.
-func (c *Control) coldTarget(now time.Time, row *bfmember.Row) coldTarget {
+func (c *Control) coldTarget(now time.Time, row *bfroster.Row) coldTarget {
 	held, found := c.share.cold[row.ID]
 	if !found || held.incarnation != row.Incarnation {
 		return coldTarget{row.Incarnation, now}
--- a/lib/bfcontrol/force.go
+++ b/lib/bfcontrol/force.go
@@ -6,9 +6,10 @@
 	"time"
 
 	"bilberryflow.org/lib/bfconfig"
+	"bilberryflow.org/lib/bfgossip"
 	"bilberryflow.org/lib/bflog"
-	"bilberryflow.org/lib/bfmember"
 	"bilberryflow.org/lib/bfrecover"
+	"bilberryflow.org/lib/bfroster"
 	"bilberryflow.org/lib/bfroute"
 )
 
@@ -57,7 +58,7 @@
 	}
 }
 
-func recoverMember(row *bfmember.Row) bfrecover.Member {
+func recoverMember(row *bfroster.Row) bfrecover.Member {
 	return bfrecover.Member{ID: row.ID, Region: row.Region, Domain: row.Domain}
 }
 
@@ -137,7 +138,7 @@
 }
 
 // metAt takes the members that the meeting rows name.
-func (f *force) metAt(rows []bfmember.Meeting) {
+func (f *force) metAt(rows []bfgossip.Meeting) {
 	f.met = f.met[:0]
 	for _, meeting := range rows {
 		f.met = append(f.met, recoverMember(&meeting.Row))
@@ -280,7 +281,7 @@
 // and then this node, with the table away, it finds no majority that remembers
 // it and waits for the table. The repeated note is refused by the new memory,
 // and upon the refusal the gate registers anew.
-func (f *force) reborn(member *bfmember.Row) {
+func (f *force) reborn(member *bfroster.Row) {
 	if note, found := f.sent[member.ID]; found {
 		f.control.sendWitness(member.Peer, note)
 	}
--- a/lib/bfcontrol/platform.go
+++ b/lib/bfcontrol/platform.go
@@ -8,8 +8,8 @@
 
 	"bilberryflow.org/lib/bfcommit"
 	"bilberryflow.org/lib/bfconfig"
+	"bilberryflow.org/lib/bfgossip"
 	"bilberryflow.org/lib/bflog"
-	"bilberryflow.org/lib/bfmember"
 	"bilberryflow.org/lib/bfstore"
 )
 
@@ -24,7 +24,7 @@
 func meetingKey(slot int) string { return fmt.Sprintf("%s%02d", meetingPrefix, slot) }
 
 type meetings struct {
-	rows []bfmember.Meeting
+	rows []bfgossip.Meeting
 	err  error
 }
 
@@ -35,10 +35,10 @@
 		if err != nil {
 			return meetings{err: err}
 		}
-		var found []bfmember.Meeting
+		var found []bfgossip.Meeting
 		for _, row := range rows {
 			// A row that can't be read is written over by the next node that needs it.
-			if meeting, err := bfmember.DecodeMeeting(row.Value); err == nil {
+			if meeting, err := bfgossip.DecodeMeeting(row.Value); err == nil {
 				found = append(found, meeting)
 			}
 		}
@@ -52,9 +52,9 @@
 	})
 }
 
-func (c *Control) writeMeeting(meeting bfmember.Meeting) {
+func (c *Control) writeMeeting(meeting bfgossip.Meeting) {
 	c.parts.Group.Go("write meeting row", func(ctx context.Context) error {
-		value, err := bfmember.EncodeMeeting(meeting)
+		value, err := bfgossip.EncodeMeeting(meeting)
 		if err != nil {
 			c.report(err)
 			return nil
--- a/lib/bfcontrol/receive.go
+++ b/lib/bfcontrol/receive.go
@@ -6,7 +6,7 @@
 	"net/netip"
 	"time"
 
-	"bilberryflow.org/lib/bfmember"
+	"bilberryflow.org/lib/bfgossip"
 	"bilberryflow.org/lib/bfpeer"
 	"bilberryflow.org/lib/bfspread"
 )
@@ -25,8 +25,8 @@
 // decode gives nil for bytes that are no message; anyone can send a datagram.
 func (c *Control) decode(data []byte) (bfpeer.Purpose, any) {
 	switch {
-	case bfmember.Owns(data):
-		message, err := bfmember.Decode(data)
+	case bfgossip.Owns(data):
+		message, err := bfgossip.Decode(data)
 		return memberPurpose(message), orNil(message, err)
 	case bfspread.Owns(data):
 		message, err := bfspread.Decode(data)
@@ -47,7 +47,7 @@
 
 func (c *Control) dispatch(now time.Time, from string, message any) {
 	switch message := message.(type) {
-	case bfmember.Message:
+	case bfgossip.Message:
 		c.memberActions(now, c.members.Receive(now, from, message))
 	case witnessMessage:
 		c.force.receive(now, from, message)
--- a/lib/bfcontrol/send.go
+++ b/lib/bfcontrol/send.go
@@ -5,7 +5,7 @@
 	"net/netip"
 	"time"
 
-	"bilberryflow.org/lib/bfmember"
+	"bilberryflow.org/lib/bfgossip"
 	"bilberryflow.org/lib/bfpeer"
 	"bilberryflow.org/lib/bfspread"
 )
@@ -53,9 +53,9 @@
 	c.outbox.Put(to, purpose, data)
 }
 
-func memberPurpose(message bfmember.Message) bfpeer.Purpose {
+func memberPurpose(message bfgossip.Message) bfpeer.Purpose {
 	switch message.(type) {
-	case bfmember.Summary, bfmember.Detail, bfmember.Repair:
+	case bfgossip.Summary, bfgossip.Detail, bfgossip.Repair:
 		return bfpeer.Repair
 	}
 	return bfpeer.Membership
--- a/lib/bfguard/guard.go
+++ b/lib/bfguard/guard.go
@@ -14,9 +14,9 @@
 	"bilberryflow.org/lib/bfforward"
 	"bilberryflow.org/lib/bfhop"
 	"bilberryflow.org/lib/bflog"
-	"bilberryflow.org/lib/bfmember"
 	"bilberryflow.org/lib/bfmetric"
 	"bilberryflow.org/lib/bfrecord"
+	"bilberryflow.org/lib/bfroster"
 	"bilberryflow.org/lib/bfroute"
 	"bilberryflow.org/lib/bfstore"
 	"bilberryflow.org/lib/bftimer"
@@ -43,7 +43,7 @@
 	Resolver  Resolver
 	Spawn     func(name string, fn func(ctx context.Context) error)
 	// Tell tells the fleet of a change of the target's state.
-	Tell func(state bfmember.TargetState, slots int)
+	Tell func(state bfroster.TargetState, slots int)
 }
 
 // Guard stands between the mesh and one target.
@@ -134,8 +134,8 @@
 // Status is what is known of the target now.
 func (g *Guard) Status(now time.Time) Status {
 	status := g.target.status(now)
-	if g.leaving.Load() && status.State != bfmember.TargetNone {
-		status.State = bfmember.TargetLeaving
+	if g.leaving.Load() && status.State != bfroster.TargetNone {
+		status.State = bfroster.TargetLeaving
 	}
 	return status
 }
@@ -150,7 +150,7 @@
 	defer g.observing.Unlock()
 	status := g.Status(now)
 	before := g.present.Load()
-	if status.State == bfmember.TargetNone || before != nil && before.status == status {
+	if status.State == bfroster.TargetNone || before != nil && before.status == status {
 		return
 	}
 	g.present.Store(g.next(before, status))
@@ -167,7 +167,7 @@
 		return &present{status: status, limiter: g.newLimiter(status)}
 	}
 	switch {
-	case status.State == bfmember.TargetLeaving:
+	case status.State == bfroster.TargetLeaving:
 		before.limiter.Drain()
 	case status.Slots != before.status.Slots:
 		before.limiter.Resize(status.Slots)
@@ -198,9 +198,9 @@
 func (g *Guard) log(before *present, after Status) {
 	service := slog.String("service", g.parts.Service)
 	switch {
-	case after.State == bfmember.TargetLeaving:
+	case after.State == bfroster.TargetLeaving:
 		g.parts.Logger.Emit(bflog.TargetLeaving, service)
-	case after.State == bfmember.TargetSilent:
+	case after.State == bfroster.TargetSilent:
 		g.parts.Logger.Emit(bflog.TargetSilent, service)
 	case before == nil || before.status.Incarnation != after.Incarnation:
 		g.parts.Logger.Emit(bflog.TargetAnnounced, service, slog.Int("slots", after.Slots))
--- a/lib/bfguard/target.go
+++ b/lib/bfguard/target.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"bilberryflow.org/lib/bfannounce"
-	"bilberryflow.org/lib/bfmember"
+	"bilberryflow.org/lib/bfroster"
 )
 
 // silentAfter is how long a target may be quiet before it gets no new work: three heartbeats.
@@ -29,7 +29,7 @@
 
 // Status is what is known of the target at one moment.
 type Status struct {
-	State   bfmember.TargetState
+	State   bfroster.TargetState
 	Address string
 	Slots   int
 	// Incarnation changes when another target process announces itself.
@@ -40,7 +40,7 @@
 
 // Takes reports whether the target takes new work.
 func (s Status) Takes() bool {
-	return s.State == bfmember.TargetReady || s.State == bfmember.TargetCold
+	return s.State == bfroster.TargetReady || s.State == bfroster.TargetCold
 }
 
 // local holds what the target beside the node says of itself.
@@ -102,15 +102,15 @@
 	s := Status{Address: l.last.Address, Slots: l.last.Slots, Incarnation: l.last.Incarnation, ColdSince: l.first}
 	switch {
 	case l.heard.IsZero():
-		s.State = bfmember.TargetNone
+		s.State = bfroster.TargetNone
 	case l.left:
-		s.State = bfmember.TargetLeaving
+		s.State = bfroster.TargetLeaving
 	case now.Sub(l.heard) > silentAfter:
-		s.State = bfmember.TargetSilent
+		s.State = bfroster.TargetSilent
 	case now.Sub(l.first) < l.coldStart():
-		s.State = bfmember.TargetCold
+		s.State = bfroster.TargetCold
 	default:
-		s.State = bfmember.TargetReady
+		s.State = bfroster.TargetReady
 	}
 	return s
 }
