--- a/lib/bfconfig/codec.go
+++ b/lib/bfconfig/codec.go
@@ -11,21 +11,23 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/klauspost/compress/zstd"
+
+	"bilberryflow.org/lib/bfcodec"
 )
 
 // Deltas and snapshots are deterministic CBOR, so equal content has equal
 // bytes and the digest of an object is the hash of its encoding.
 
 var (
-	encMode = must(cbor.EncOptions{
+	encMode = bfcodec.Must(cbor.EncOptions{
 		Sort: cbor.SortCoreDeterministic, Time: cbor.TimeUnix, TimeTag: cbor.EncTagNone,
 	}.EncMode())
-	decMode = must(cbor.DecOptions{
+	decMode = bfcodec.Must(cbor.DecOptions{
 		DupMapKey: cbor.DupMapKeyEnforcedAPF, ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
 		MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20,
 	}.DecMode())
-	packer   = must(zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedDefault)))
-	unpacker = must(zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxSnapshotSize)))
+	packer   = bfcodec.Must(zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedDefault)))
+	unpacker = bfcodec.Must(zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxSnapshotSize)))
 )
 
 // maxSnapshotSize is the largest state in bytes that a node unpacks. A broken or
@@ -33,26 +35,6 @@
 // node's 128 MB and have it killed; a quarter of that is some 300,000 objects.
 const maxSnapshotSize = 32 << 20
 
-// must is for values made from constants: their failure is a fault of the source.
-func must[T any](value T, err error) T {
-	if err != nil {
-		panic(err)
-	}
-	return value
-}
-
-// CodecError reports bytes that are not what they should be.
-type CodecError struct {
-	What   string
-	Reason error
-}
-
-// Error names what was read and why it failed.
-func (e *CodecError) Error() string { return fmt.Sprintf("unreadable %s: %v", e.What, e.Reason) }
-
-// Unwrap is the reason.
-func (e *CodecError) Unwrap() error { return e.Reason }
-
 // opWire is an operation as it travels: exactly one field is set.
 type opWire struct {
 	Service *ServiceSpec `cbor:"1,keyasint,omitempty" json:"service,omitempty"`
@@ -152,14 +134,14 @@
 func DecodeDelta(data []byte) (Delta, error) {
 	var wire deltaWire
 	if err := decMode.Unmarshal(data, &wire); err != nil {
-		return Delta{}, &CodecError{What: "delta", Reason: err}
+		return Delta{}, &bfcodec.Error{What: "delta", Reason: err}
 	}
 	ops, err := wireOps(wire.Ops)
 	if err != nil {
-		return Delta{}, &CodecError{What: "delta", Reason: err}
+		return Delta{}, &bfcodec.Error{What: "delta", Reason: err}
 	}
 	if wire.Version == 0 || len(ops) == 0 {
-		return Delta{}, &CodecError{What: "delta", Reason: errors.New("no version or no operations")}
+		return Delta{}, &bfcodec.Error{What: "delta", Reason: errors.New("no version or no operations")}
 	}
 	change := NewChange(wire.ID, wire.Author, time.UnixMilli(wire.At), ops)
 	return Delta{version: wire.Version, digest: wire.Digest, change: change}, nil
@@ -196,14 +178,14 @@
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields() // a mistyped limit must not be confirmed as no limit
 	if err := decoder.Decode(&wires); err != nil {
-		return nil, &CodecError{What: "operations", Reason: err}
+		return nil, &bfcodec.Error{What: "operations", Reason: err}
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return nil, &CodecError{What: "operations", Reason: errors.New("more than one value")}
+		return nil, &bfcodec.Error{What: "operations", Reason: errors.New("more than one value")}
 	}
 	ops, err := wireOps(wires)
 	if err != nil {
-		return nil, &CodecError{What: "operations", Reason: err}
+		return nil, &bfcodec.Error{What: "operations", Reason: err}
 	}
 	return ops, nil
 }
@@ -246,11 +228,11 @@
 func Restore(data []byte, want Version) (*State, error) {
 	plain, err := unpacker.DecodeAll(data, nil)
 	if err != nil {
-		return nil, &CodecError{What: "snapshot", Reason: err}
+		return nil, &bfcodec.Error{What: "snapshot", Reason: err}
 	}
 	var wire snapshotWire
 	if err := decMode.Unmarshal(plain, &wire); err != nil {
-		return nil, &CodecError{What: "snapshot", Reason: err}
+		return nil, &bfcodec.Error{What: "snapshot", Reason: err}
 	}
 	if wire.Version != want {
 		return nil, &VersionError{Held: want, Delta: wire.Version}
@@ -264,11 +246,11 @@
 	for _, item := range w.Objects {
 		op, err := item.Object.op()
 		if err != nil {
-			return nil, &CodecError{What: "snapshot", Reason: err}
+			return nil, &bfcodec.Error{What: "snapshot", Reason: err}
 		}
 		put, isPut := op.(Put)
 		if !isPut {
-			return nil, &CodecError{What: "snapshot", Reason: fmt.Errorf("holds %T", op)}
+			return nil, &bfcodec.Error{What: "snapshot", Reason: fmt.Errorf("holds %T", op)}
 		}
 		s.version = item.Revision
 		if err := s.put(put.Object); err != nil {
@@ -293,5 +275,5 @@
 	if errX != nil || errY != nil {
 		return false
 	}
-	return slices.Equal(must(encMode.Marshal(x)), must(encMode.Marshal(y)))
+	return slices.Equal(bfcodec.Must(encMode.Marshal(x)), bfcodec.Must(encMode.Marshal(y)))
 }
--- a/lib/bfconfig/hostile_test.go
+++ b/lib/bfconfig/hostile_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"bilberryflow.org/lib/bfcodec"
 )
 
 // portal is a valid state and the delta that led to it from the one before.
@@ -87,7 +89,7 @@
 	var version *VersionError
 	_, err = Restore(snapshot, after.Version()+1)
 	is.True(errors.As(err, &version))
-	var codec *CodecError
+	var codec *bfcodec.Error
 	for _, foreign := range [][]byte{nil, delta, []byte("GET / HTTP/1.1\r\n\r\n"), {0xf6}, {0xa0}, {0x80}} {
 		_, err = Restore(foreign, after.Version())
 		is.True(errors.As(err, &codec))
@@ -144,7 +146,7 @@
 // without what it was made for, and a class would run without its limit.
 func TestMistypedFieldIsRefused(t *testing.T) {
 	is := is.New(t)
-	var codec *CodecError
+	var codec *bfcodec.Error
 	for _, text := range []string{
 		`[{"service":{"name":"a","slot":3}}]`, `[{"servise":{"name":"a"}}]`, `[{}]`, `[null]`, `{}`, `[] []`,
 		`[{"service":{"name":"a"},"remove":{"kind":"service","name":"a"}}]`,
@@ -160,7 +162,7 @@
 	is := is.New(t)
 	bomb := packer.EncodeAll(make([]byte, maxSnapshotSize+1), nil)
 	_, err := Restore(bomb, 1)
-	var codec *CodecError
+	var codec *bfcodec.Error
 	is.True(errors.As(err, &codec))
 	is.True(maxSnapshotSize <= 32<<20) // a quarter of the node's memory
 }
--- a/lib/bfcontrol/witness.go
+++ b/lib/bfcontrol/witness.go
@@ -1,10 +1,7 @@
 package bfcontrol
 
 import (
-	"fmt"
-
-	"github.com/fxamacker/cbor/v2"
-
+	"bilberryflow.org/lib/bfcodec"
 	"bilberryflow.org/lib/bfpeer"
 	"bilberryflow.org/lib/bfrecover"
 )
@@ -41,8 +38,8 @@
 	case bfrecover.Answer:
 		kind = kindAnswer
 	}
-	body, err := cbor.Marshal(message)
-	c.send(address, bfpeer.Witness, append([]byte{kind}, body...), err)
+	data, err := bfcodec.EncodeForm(kind, message)
+	c.send(address, bfpeer.Witness, data, err)
 }
 
 func decodeWitness(data []byte) (any, error) {
@@ -56,11 +53,10 @@
 	case kindAnswer:
 		return decodeWitnessAs[bfrecover.Answer](data)
 	}
-	return nil, fmt.Errorf("form %d unknown", data[0])
+	return nil, bfcodec.UnknownForm(data[0])
 }
 
 func decodeWitnessAs[M any](data []byte) (any, error) {
-	var m M
-	err := cbor.Unmarshal(data[1:], &m)
+	m, err := bfcodec.DecodeForm[M](data)
 	return witnessMessage{body: m}, err
 }
--- a/lib/bfgossip/codec.go
+++ b/lib/bfgossip/codec.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/fxamacker/cbor/v2"
+	"bilberryflow.org/lib/bfcodec"
 )
 
 // The first byte of an encoded message names its form; numbers below 16 are this package's.
@@ -28,47 +28,16 @@
 func (PageRequest) kind() byte  { return kindPageRequest }
 func (Page) kind() byte         { return kindPage }
 
-var (
-	encMode = must(cbor.EncOptions{}.EncMode())
-	decMode = must(cbor.DecOptions{MaxArrayElements: 1 << 16, MaxMapPairs: 1 << 10}.DecMode())
-)
-
-// must is for values made from constants: their failure is a fault of the source.
-func must[T any](value T, err error) T {
-	if err != nil {
-		panic(err)
-	}
-	return value
-}
-
-// CodecError reports bytes that are not what they should be.
-type CodecError struct {
-	What   string
-	Reason error
-}
-
-// Error names what was read and why it failed.
-func (e *CodecError) Error() string { return fmt.Sprintf("unreadable %s: %v", e.What, e.Reason) }
-
-// Unwrap is the reason.
-func (e *CodecError) Unwrap() error { return e.Reason }
-
 // Owns reports whether data is an encoded message of this package.
 func Owns(data []byte) bool { return len(data) > 0 && data[0] > 0 && data[0] < kindLimit }
 
 // Encode writes a message as one byte for its form and CBOR.
-func Encode(m Message) ([]byte, error) {
-	body, err := encMode.Marshal(m)
-	if err != nil {
-		return nil, &CodecError{What: fmt.Sprintf("%T", m), Reason: err}
-	}
-	return append([]byte{m.kind()}, body...), nil
-}
+func Encode(m Message) ([]byte, error) { return bfcodec.EncodeForm(m.kind(), m) }
 
 // Decode reads what Encode wrote.
 func Decode(data []byte) (Message, error) {
 	if !Owns(data) {
-		return nil, &CodecError{What: "message", Reason: fmt.Errorf("form unknown")}
+		return nil, &bfcodec.Error{What: "message", Reason: fmt.Errorf("form unknown")}
 	}
 	switch data[0] {
 	case kindProbe:
@@ -88,16 +57,16 @@
 	case kindPage:
 		return decodeAs[Page](data)
 	}
-	return nil, &CodecError{What: "message", Reason: fmt.Errorf("form %d unknown", data[0])}
+	return nil, bfcodec.UnknownForm(data[0])
 }
 
 func decodeAs[M Message](data []byte) (Message, error) {
-	var m M
-	if err := decMode.Unmarshal(data[1:], &m); err != nil {
-		return nil, &CodecError{What: fmt.Sprintf("%T", m), Reason: err}
+	message, err := bfcodec.DecodeForm[M](data)
+	if err != nil {
+		return nil, err
 	}
-	return m, nil
+	return message, nil
 }
 
 // EncodedSize is how many bytes a part of a message takes.
-func EncodedSize(v any) int { return len(must(encMode.Marshal(v))) }
+func EncodedSize(v any) int { return len(bfcodec.Must(bfcodec.Marshal(v))) }
--- a/lib/bfgossip/loss.go
+++ b/lib/bfgossip/loss.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 
+	"bilberryflow.org/lib/bfcodec"
 	"bilberryflow.org/lib/bfroster"
 )
 
@@ -34,11 +35,11 @@
 	var list []LostMember
 	for data := l.Packed; len(data) > 0; {
 		if len(data) <= fixed {
-			return nil, &CodecError{What: "loss", Reason: fmt.Errorf("%d bytes left over", len(data))}
+			return nil, &bfcodec.Error{What: "loss", Reason: fmt.Errorf("%d bytes left over", len(data))}
 		}
 		sequence, n := binary.Uvarint(data[fixed:])
 		if n <= 0 {
-			return nil, &CodecError{What: "loss", Reason: fmt.Errorf("bad sequence")}
+			return nil, &bfcodec.Error{What: "loss", Reason: fmt.Errorf("bad sequence")}
 		}
 		list = append(list, LostMember{binary.BigEndian.Uint64(data), binary.BigEndian.Uint64(data[8:]), sequence})
 		data = data[fixed+n:]
--- a/lib/bfgossip/meeting.go
+++ b/lib/bfgossip/meeting.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bilberryflow.org/lib/bfcodec"
 	"bilberryflow.org/lib/bfroster"
 )
 
@@ -16,17 +17,17 @@
 // EncodeMeeting writes the value of a meeting row.
 func EncodeMeeting(m Meeting) ([]byte, error) {
 	m.At = m.At.UTC().Truncate(time.Second)
-	return encMode.Marshal(m)
+	return bfcodec.Marshal(m)
 }
 
 // DecodeMeeting reads what EncodeMeeting wrote.
 func DecodeMeeting(data []byte) (Meeting, error) {
 	var m Meeting
-	if err := decMode.Unmarshal(data, &m); err != nil {
-		return Meeting{}, &CodecError{What: "meeting row", Reason: err}
+	if err := bfcodec.Unmarshal(data, "meeting row", &m); err != nil {
+		return Meeting{}, err
 	}
 	if err := m.Row.Check(); err != nil {
-		return Meeting{}, &CodecError{What: "meeting row", Reason: err}
+		return Meeting{}, &bfcodec.Error{What: "meeting row", Reason: err}
 	}
 	return m, nil
 }
--- a/lib/bfgossip/outage.go
+++ b/lib/bfgossip/outage.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"bilberryflow.org/lib/bfcodec"
 	"bilberryflow.org/lib/bfroster"
 )
 
@@ -25,7 +26,7 @@
 // Check refuses an outage that can't be of a domain.
 func (o Outage) Check() error {
 	if len(o.Region) > bfroster.MaxText || len(o.Domain) > bfroster.MaxText || o.Epoch > bfroster.MaxSequence {
-		return &CodecError{What: "outage", Reason: &bfroster.RowError{Field: "domain or epoch", Reason: "is out of range"}}
+		return &bfcodec.Error{What: "outage", Reason: &bfroster.RowError{Field: "domain or epoch", Reason: "is out of range"}}
 	}
 	return nil
 }
--- a/lib/bfmember/members.go
+++ b/lib/bfmember/members.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"bilberryflow.org/lib/bfcodec"
 	"bilberryflow.org/lib/bfgossip"
 	"bilberryflow.org/lib/bfroster"
 	"bilberryflow.org/lib/bfview"
@@ -329,7 +330,7 @@
 func (m *Members) learnLoss(now time.Time, loss bfgossip.Loss) {
 	members, err := loss.Members()
 	if err == nil && (loss.State == bfroster.Alive || loss.State > bfroster.Left) {
-		err = &bfgossip.CodecError{What: "loss", Reason: &bfroster.RowError{Field: "state", Reason: "is not one of a loss"}}
+		err = &bfcodec.Error{What: "loss", Reason: &bfroster.RowError{Field: "state", Reason: "is not one of a loss"}}
 	}
 	if err != nil {
 		m.do(Report{Err: err})
--- a/lib/bfspread/push.go
+++ b/lib/bfspread/push.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"bilberryflow.org/lib/bfcodec"
 	"bilberryflow.org/lib/bfconfig"
 	"bilberryflow.org/lib/bfroster"
 	"bilberryflow.org/lib/bfspan"
@@ -279,7 +280,7 @@
 		deltas = append(deltas, delta)
 	}
 	if len(deltas) == 0 {
-		return batch{}, nil, &CodecError{What: "push", Reason: fmt.Errorf("no deltas")}
+		return batch{}, nil, &bfcodec.Error{What: "push", Reason: fmt.Errorf("no deltas")}
 	}
 	return b, deltas, nil
 }
