--- a/bftrial/internal/bfmeasure/report.go
+++ b/bftrial/internal/bfmeasure/report.go
@@ -121,5 +121,8 @@
 		p.Add(line, points)
 		p.Legend.Add(name, line, points)
 	}
+	// Room for the legend above the highest line.
+	const headroom = 1.3
+	p.Y.Min, p.Y.Max = 0, p.Y.Max*headroom
 	return p.Save(16*vg.Centimeter, 10*vg.Centimeter, path)
 }
