An answer that comes before its call's write returns counts for its call

Cause: the framing noted a call's purpose after the write, so a quick answer found none, counted as the operators' and left the note behind for good. Ruled out: the peer's own count (its turn comes after, which the test now waits for). The new test fails without the order (0 != 48) and passes with it.

--- a/lib/bfpeer/frame.go
+++ b/lib/bfpeer/frame.go
@@ -149,8 +149,11 @@
 		return 0, err
 	}
 	frame := encodeFrame(data)
+	// The purpose of a call is noted before its bytes leave: an answer that came
+	// first would find none, be counted as another's, and leave the note for good.
+	purpose := w.framer.purposeOf(message, true)
 	n, err := w.out.Write(frame)
-	w.framer.traffic.addSent(w.framer.purposeOf(message, true), n)
+	w.framer.traffic.addSent(purpose, n)
 	return int64(n), err
 }
 
--- a/lib/bfpeer/peer_test.go
+++ b/lib/bfpeer/peer_test.go
@@ -1,16 +1,19 @@
 package bfpeer
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/exp/jsonrpc2"
 
 	"bilberryflow.org/lib/bfgroup"
 	"bilberryflow.org/lib/bfmetric"
@@ -63,12 +66,50 @@
 	is.NoErr(calls.Call(context.Background(), address, "echo", &sent, &answer))
 	is.Equal(answer, sent)
 	is.Equal(traffic.Sent(Repair), served.Received(Repair))
+	// The peer counts its answer once the write returns, which may be a moment
+	// after the answer is here.
+	for deadline := time.Now().Add(10 * time.Second); served.Sent(Repair) == 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
 	is.Equal(traffic.Received(Repair), served.Sent(Repair))
 	is.True(traffic.Sent(Repair) > 0)
 	is.True(traffic.Sent(Repair) < int64(len(sent.Text))/10) // compressed
 	is.Equal(traffic.Sent(Operators), int64(0))
 }
 
+// quickPeer answers a call before the caller's write returns.
+type quickPeer struct {
+	reader jsonrpc2.Reader
+}
+
+// Write takes the call and has its answer read at once.
+func (p *quickPeer) Write(b []byte) (int, error) {
+	_, _, err := p.reader.Read(context.Background())
+	return len(b), err
+}
+
+// The answer to a call comes before the caller's write has returned. Its bytes
+// must count for the call's purpose; counted as another's, the operators' figure
+// of what control costs would be wrong by whatever is quick.
+func TestQuickAnswerCountsForItsCall(t *testing.T) {
+	is := is.New(t)
+	traffic := NewTraffic(bfmetric.New())
+	framer := &framer{traffic: traffic, purposes: map[string]Purpose{"echo": Repair}, calls: &sync.Map{}}
+	id := jsonrpc2.Int64ID(1)
+	response, err := jsonrpc2.NewResponse(id, &echo{Text: "x"}, nil)
+	is.NoErr(err)
+	data, err := jsonrpc2.EncodeMessage(response)
+	is.NoErr(err)
+	peer := &quickPeer{reader: framer.Reader(bytes.NewReader(encodeFrame(data)))}
+	call, err := jsonrpc2.NewCall(id, "echo", &echo{})
+	is.NoErr(err)
+	_, err = framer.Writer(peer).Write(context.Background(), call)
+	is.NoErr(err)
+	is.Equal(traffic.Received(Repair), int64(len(encodeFrame(data))))
+	_, left := framer.calls.Load(callKey{id, true})
+	is.True(!left)
+}
+
 // A slow call is in progress on a connection when a quick one comes on the same
 // connection. The quick one must be answered first, or one waiting question
 // would hold back all later ones between two nodes.
