The loss of a failure domain is logged

Since a lost domain is one record its members' rows don't change, so nothing in the log told an operator of it. Its test fails without the line (1 != 2).

--- a/lib/bfcontrol/control.go
+++ b/lib/bfcontrol/control.go
@@ -219,6 +219,8 @@
 			c.parts.Reincarnated(a.Self.Incarnation)
 			c.parts.Logger.Emit(bflog.SelfRefuted, slog.String("told", a.Told.State.String()),
 				slog.Bool("newIncarnation", a.Told.Incarnation != a.Self.Incarnation))
+		case bfmember.DomainLost:
+			c.logOutage(a.Outage)
 		case bfmember.Joined:
 			c.joined(now)
 		case bfmember.ReadMeeting:
@@ -256,6 +258,16 @@
 	c.heard[a.From] = heardHead{bfconfig.Version(a.Advert.Version), now}
 }
 
+// logOutage speaks for all members of the domain: their own rows stay as they
+// were, so without it the loss of a domain would leave no line in the log.
+func (c *Control) logOutage(outage bfgossip.Outage) {
+	event := bflog.DomainLost
+	if !outage.Lost {
+		event = bflog.DomainBack
+	}
+	c.parts.Logger.Emit(event, slog.String("region", outage.Region), slog.String("domain", outage.Domain))
+}
+
 func (c *Control) logMember(a bfmember.Changed) {
 	instance := slog.String("member", a.New.ID)
 	switch {
--- a/lib/bfcontrol/source_test.go
+++ b/lib/bfcontrol/source_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"log/slog"
 	"strings"
 	"testing"
@@ -12,6 +13,7 @@
 	"bilberryflow.org/lib/bfconfig"
 	"bilberryflow.org/lib/bfgossip"
 	"bilberryflow.org/lib/bflog"
+	"bilberryflow.org/lib/bfmember"
 	"bilberryflow.org/lib/bfroster"
 	"bilberryflow.org/lib/bfstore"
 )
@@ -79,3 +81,21 @@
 	is.Equal(c.force.held[len(c.force.held)-1].Version(), state.Version())
 	is.Equal(c.inForce.Load(), uint64(0))
 }
+
+// A whole domain is lost and comes back. The operator must find one line for
+// each: the members' own rows don't change, so nothing else in the log says it.
+func TestLostDomainIsLoggedOnce(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	c := &Control{}
+	c.parts.Logger = bflog.New(&out, "n1", slog.LevelInfo)
+	for _, lost := range []bool{true, false} {
+		outage := bfgossip.Outage{Region: "vienna", Domain: "wien-sued", Epoch: 1, Lost: lost}
+		c.memberActions(time.Now(), []bfmember.Action{bfmember.DomainLost{Outage: outage}})
+	}
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	is.Equal(len(lines), 2)
+	is.True(strings.Contains(lines[0], fmt.Sprintf(`"event":%d`, bflog.DomainLost.Number())))
+	is.True(strings.Contains(lines[1], fmt.Sprintf(`"event":%d`, bflog.DomainBack.Number())))
+	is.True(strings.Contains(lines[0], "wien-sued"))
+}
--- a/lib/bflog/events.go
+++ b/lib/bflog/events.go
@@ -33,6 +33,8 @@
 	MemberDead      = declare(3003, slog.LevelWarn, "member dead", "Replace the instance if it was not stopped on purpose.")
 	MemberLeft      = declare(3004, slog.LevelInfo, "member left", "Nothing.")
 	SelfRefuted     = declare(3005, slog.LevelWarn, "this node was suspected and refuted it", "Look for pauses or loss on this instance if it repeats.")
+	DomainLost      = declare(3006, slog.LevelError, "failure domain lost", "Look at the domain's power and network; its targets get no requests until it answers again.")
+	DomainBack      = declare(3007, slog.LevelInfo, "failure domain answers again", "Nothing.")
 )
 
 // Events of requests.
