--- /dev/null
+++ b/lib/bfentry/entry_test.go
@@ -0,0 +1,353 @@
+package bfentry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bilberryflow.org/lib/bfexchange"
+	"bilberryflow.org/lib/bffleet"
+	"bilberryflow.org/lib/bfgroup"
+	"bilberryflow.org/lib/bfheader"
+	"bilberryflow.org/lib/bfhost"
+	"bilberryflow.org/lib/bflog"
+	"bilberryflow.org/lib/bfmetric"
+	"bilberryflow.org/lib/bfretry"
+	"bilberryflow.org/lib/bftimer"
+	"bilberryflow.org/lib/bftraffic"
+)
+
+var names = bfheader.Names{
+	RequestID: "T-Id", Deadline: "T-Deadline", ExpectTarget: "T-Expect", Target: "T-Target", NotRun: "T-Not-Run", CallerService: "T-Caller",
+}
+
+// node is one node beside a scripted target.
+type node struct {
+	host    *bfhost.Host
+	inbound *httptest.Server
+	runs    atomic.Int32
+	serve   http.HandlerFunc
+}
+
+func (n *node) address() string { return strings.TrimPrefix(n.inbound.URL, "http://") }
+
+// mesh is an entry and the nodes it sends to.
+type mesh struct {
+	*is.I
+	entry *Handler
+	front *httptest.Server
+	fleet *bffleet.Fleet
+	nodes []*node
+}
+
+const slots = 2
+
+func newMesh(t *testing.T, terms bfretry.Terms, serve ...http.HandlerFunc) *mesh {
+	t.Helper()
+	timer := bftimer.New(1)
+	group := bfgroup.New(context.Background())
+	group.Go("timer", timer.Run)
+	t.Cleanup(group.Cancel)
+	m := &mesh{I: is.New(t), fleet: bffleet.New("nord")}
+	var members []bffleet.Member
+	for _, handler := range serve {
+		n := newTestNode(t, timer, handler)
+		m.nodes = append(m.nodes, n)
+		members = append(members, bffleet.Member{Inbound: n.address(), Service: "portal", Domain: "nord", Slots: slots})
+	}
+	m.fleet.Replace(members)
+	traffic := bftraffic.NewHolder(nil)
+	snapshot, err := bftraffic.NewSnapshot(bftraffic.Spec{
+		Version: 1, Services: []bftraffic.ServiceSpec{{Name: "portal"}},
+		Routes: []bftraffic.RouteSpec{testRoute("look", "/look/", bftraffic.Idempotent), testRoute("approve", "/approve/", bftraffic.NonIdempotent)},
+	})
+	m.NoErr(err)
+	traffic.Adopt(snapshot)
+	m.entry = New(Parts{
+		Service: "vault", Names: names, Traffic: traffic, Fleet: m.fleet, Terms: terms, Timer: timer,
+		Host:   bfhost.New(bfhost.Parts{Service: "vault", Timer: timer}),
+		Client: bfexchange.New(bfexchange.Options{DialTimeout: time.Second, IdleUnstated: time.Second}),
+		Logger: bflog.Discard(), Metrics: bfmetric.New(),
+	})
+	m.front = httptest.NewServer(m.entry)
+	t.Cleanup(m.front.Close)
+	return m
+}
+
+func testRoute(name, prefix string, kind bftraffic.Kind) bftraffic.RouteSpec {
+	return bftraffic.RouteSpec{
+		Name: name, Host: "h.example", Prefix: prefix, Kind: kind, Timeout: time.Second, Objective: 400 * time.Millisecond,
+		MaxAttempts: 2, Destinations: []bftraffic.Destination{{Service: "portal", Weight: 1}},
+	}
+}
+
+func newTestNode(t *testing.T, timer *bftimer.Service, serve http.HandlerFunc) *node {
+	t.Helper()
+	n := &node{serve: serve}
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.runs.Add(1)
+		w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
+		n.serve(w, r)
+	}))
+	n.host = bfhost.New(bfhost.Parts{
+		Service: "portal", Names: names, Timer: timer, Changed: func(*bfhost.Target) {},
+		Client: bfexchange.New(bfexchange.Options{IDHeader: names.RequestID, DialTimeout: time.Second, IdleUnstated: time.Second}),
+	})
+	n.host.Heard(bfhost.Heartbeat{
+		Incarnation: "a", Sequence: 1, Service: "portal", State: bfhost.Ready, Slots: slots,
+		Address: strings.TrimPrefix(target.URL, "http://"),
+	})
+	n.inbound = httptest.NewServer(bfhost.NewInbound(n.host))
+	t.Cleanup(func() {
+		target.CloseClientConnections()
+		n.inbound.CloseClientConnections()
+		target.Close()
+		n.inbound.Close()
+	})
+	return n
+}
+
+// ask sends a caller's request and gives "status body", or "cut".
+func (m *mesh) ask(method, path string, header map[string]string) (string, http.Header) {
+	r, err := http.NewRequest(method, m.front.URL+path, strings.NewReader(""))
+	m.NoErr(err)
+	r.Host = "h.example"
+	r.Header.Set(names.RequestID, "id-"+path)
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return "cut", nil
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return "cut", response.Header
+	}
+	return fmt.Sprintf("%d %s", response.StatusCode, body), response.Header
+}
+
+func (m *mesh) runs() (sum int32) {
+	for _, n := range m.nodes {
+		sum += n.runs.Load()
+	}
+	return sum
+}
+
+func hello(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "hello") }
+
+func lose(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func shed(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(names.NotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func fail(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusInternalServerError)
+	_, _ = io.WriteString(w, "broken")
+}
+
+var generous = bfretry.Terms{Ratio: 10, Slack: 1000, Window: time.Second}
+
+// A caller names another service as its own. The target must hear the service
+// beside the node where the request began, whatever the caller says.
+func TestTargetHearsTheTrueCaller(t *testing.T) {
+	var got http.Header
+	m := newMesh(t, generous, func(w http.ResponseWriter, r *http.Request) { got = r.Header; hello(w, r) })
+	answer, header := m.ask(http.MethodGet, "/look/1", map[string]string{names.CallerService: "portal", "X-Other": "kept", "Bilberry-Policy": "forged"})
+	m.Equal(answer, "200 hello")
+	m.Equal(got[names.CallerService], []string{"vault"})
+	m.Equal(got.Get("X-Other"), "kept")
+	m.Equal(got.Get("Bilberry-Policy"), "")
+	m.Equal(header.Get("Bilberry-Load"), "") // nodes' own words do not reach callers
+}
+
+func TestRoutesThatAreNotThere(t *testing.T) {
+	m := newMesh(t, generous, hello)
+	answer, _ := m.ask(http.MethodGet, "/nowhere/1", nil)
+	m.True(strings.HasPrefix(answer, "404"))
+	m.entry.parts.Traffic = bftraffic.NewHolder(nil)
+	answer, header := m.ask(http.MethodGet, "/look/1", nil)
+	m.Equal(answer, "503 ") // it knows no configuration, so it can't say 404
+	m.True(header.Get("Retry-After") != "")
+}
+
+// A target leaves, and the entry has not heard of it. The refusal of the node
+// beside it sends the request elsewhere, at no cost in the budget.
+func TestRefusalGoesToTheNextNode(t *testing.T) {
+	m := newMesh(t, bfretry.Terms{}, hello, hello, hello)
+	m.nodes[0].host.Left("a")
+	m.nodes[1].host.Leave()
+	for i := range 20 {
+		answer, _ := m.ask(http.MethodPost, fmt.Sprint("/approve/", i), nil)
+		m.Equal(answer, "200 hello")
+	}
+	m.Equal(m.nodes[2].runs.Load(), int32(20))
+}
+
+// All slots are taken. The caller is told at once that the request has not run
+// and when to come back, and no target sees it.
+func TestFullFleetRefusesAtOnce(t *testing.T) {
+	release := make(chan struct{})
+	m := newMesh(t, generous, func(w http.ResponseWriter, r *http.Request) { <-release; hello(w, r) })
+	ends := make(chan string, slots)
+	group := bfgroup.New(context.Background())
+	for i := range slots {
+		group.Go("caller", func(context.Context) error {
+			answer, _ := m.ask(http.MethodGet, fmt.Sprint("/look/", i), nil)
+			ends <- answer
+			return nil
+		})
+	}
+	for m.runs() < slots {
+		time.Sleep(time.Millisecond)
+	}
+	began := time.Now()
+	answer, header := m.ask(http.MethodPost, "/approve/1", nil)
+	m.Equal(answer, "503 ")
+	m.True(time.Since(began) < 200*time.Millisecond)
+	m.True(header.Get("Retry-After") != "")
+	close(release)
+	for range slots {
+		m.Equal(<-ends, "200 hello")
+	}
+	m.Equal(m.runs(), int32(slots))
+}
+
+// A target took a nomination and its answer was lost. Sent again it could load
+// the fuel twice; the caller is told that nobody knows.
+func TestLostAnswerOfANonIdempotentRequest(t *testing.T) {
+	m := newMesh(t, generous, lose, lose, lose)
+	answer, _ := m.ask(http.MethodPost, "/approve/1", nil)
+	m.Equal(answer, "502 ")
+	m.Equal(m.runs(), int32(1))
+}
+
+func TestLostAnswerOfAnIdempotentRequest(t *testing.T) {
+	m := newMesh(t, generous, lose, hello)
+	for i := range 10 {
+		answer, _ := m.ask(http.MethodGet, fmt.Sprint("/look/", i), nil)
+		m.Equal(answer, "200 hello")
+	}
+	m = newMesh(t, generous, lose, lose, lose)
+	answer, _ := m.ask(http.MethodGet, "/look/1", nil)
+	m.Equal(answer, "502 ")
+	m.Equal(m.runs(), int32(2)) // as many targets as the route allows
+}
+
+// A target sheds: it says itself that it has not run the request. Another may
+// run it, also one that is not idempotent, but the sending counts in the budget.
+func TestShedRequest(t *testing.T) {
+	m := newMesh(t, generous, shed, hello)
+	for i := range 10 {
+		answer, _ := m.ask(http.MethodPost, fmt.Sprint("/approve/", i), nil)
+		m.Equal(answer, "200 hello")
+	}
+	m = newMesh(t, bfretry.Terms{}, shed, shed)
+	answer, header := m.ask(http.MethodPost, "/approve/1", nil)
+	m.Equal(answer, "503 ")
+	m.True(header.Get("Retry-After") != "")
+	m.Equal(m.runs(), int32(1)) // no budget
+}
+
+func TestTargetsOwnFailure(t *testing.T) {
+	m := newMesh(t, generous, fail, hello)
+	for i := range 10 {
+		answer, _ := m.ask(http.MethodGet, fmt.Sprint("/look/", i), nil)
+		m.Equal(answer, "200 hello")
+	}
+	m = newMesh(t, generous, fail, fail)
+	answer, _ := m.ask(http.MethodPost, "/approve/1", nil)
+	m.Equal(answer, "500 broken") // as the target said it
+	m.Equal(m.runs(), int32(1))
+}
+
+// A download breaks off behind the part that the node holds back. The caller's
+// connection must end without the end of the answer.
+func TestCutDownloadStaysCut(t *testing.T) {
+	m := newMesh(t, generous, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", 1<<20))
+		panic(http.ErrAbortHandler)
+	})
+	answer, _ := m.ask(http.MethodGet, "/look/1", nil)
+	m.Equal(answer, "cut")
+}
+
+// An answer comes later than its route lets callers wait.
+func TestTimeoutIsKept(t *testing.T) {
+	m := newMesh(t, generous, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(3 * time.Second):
+		}
+	})
+	began := time.Now()
+	answer, _ := m.ask(http.MethodGet, "/look/1", nil)
+	m.Equal(answer, "504 ")
+	took := time.Since(began)
+	m.True(took >= time.Second && took < 1300*time.Millisecond)
+	began = time.Now()
+	answer, _ = m.ask(http.MethodPost, "/approve/1", map[string]string{names.Deadline: "200"})
+	m.Equal(answer, "504 ")
+	m.True(time.Since(began) < 400*time.Millisecond)
+}
+
+// A caller leaves while its look-up runs: the target must hear of it through
+// both nodes, and free the slot.
+func TestCallersLeavingReachesTheTarget(t *testing.T) {
+	began, left := make(chan struct{}), make(chan time.Time, 1)
+	m := newMesh(t, generous, func(_ http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-r.Context().Done()
+		left <- time.Now()
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, m.front.URL+"/look/1", nil)
+	m.NoErr(err)
+	r.Host = "h.example"
+	group := bfgroup.New(context.Background())
+	group.Go("leave", func(context.Context) error { <-began; cancel(); return nil })
+	_, err = http.DefaultClient.Do(r)
+	m.True(err != nil)
+	select {
+	case <-left:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the target worked on")
+	}
+}
+
+// A node stops: its answers say that they are the last on their connection, and
+// later it takes nothing more.
+func TestStoppingEntry(t *testing.T) {
+	m := newMesh(t, generous, hello)
+	m.entry.Leave()
+	raw := m.raw("GET /look/1 HTTP/1.1\r\nHost: h.example\r\n" + names.RequestID + ": 1\r\n\r\n")
+	m.Equal(raw.StatusCode, http.StatusOK)
+	m.True(raw.Close)
+	m.entry.Close()
+	answer, _ := m.ask(http.MethodGet, "/look/2", nil)
+	m.Equal(answer, "503 ")
+	m.Equal(m.runs(), int32(1))
+}
+
+func (m *mesh) raw(request string) *http.Response {
+	c, err := net.Dial("tcp", strings.TrimPrefix(m.front.URL, "http://"))
+	m.NoErr(err)
+	_, err = io.WriteString(c, request)
+	m.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	m.NoErr(err)
+	return response
+}
--- /dev/null
+++ b/lib/bffleet/fleet_test.go
@@ -0,0 +1,117 @@
+package bffleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func member(n int, domain string) Member {
+	return Member{Inbound: fmt.Sprintf("10.0.0.%d:1", n), Service: "portal", Domain: domain, Slots: 10}
+}
+
+func picks(f *Fleet, now time.Time, count int) map[string]int {
+	got := map[string]int{}
+	for range count {
+		if t := f.Pick("portal", now, nil); t != nil {
+			got[t.Member().Inbound]++
+		}
+	}
+	return got
+}
+
+var start = time.Unix(1000, 0)
+
+func TestOwnDomainFirstWhileItHasRoom(t *testing.T) {
+	is := is.New(t)
+	f := New("nord")
+	f.Replace([]Member{member(1, "nord"), member(2, "sued")})
+	picks(f, start, 2) // both were chosen once, so neither is chosen for want of news
+	is.Equal(picks(f, start, 20)["10.0.0.1:1"], 20)
+	own := f.view.Load().members["10.0.0.1:1"]
+	own.Told(10, 10, start)
+	is.Equal(picks(f, start, 20)["10.0.0.2:1"], 20) // full, so the other domain's
+}
+
+// A target joins in another domain while the own one has room. It must get work
+// soon all the same, or it earns nothing and nobody knows how it fares.
+func TestTargetWithoutNewsIsChosen(t *testing.T) {
+	is := is.New(t)
+	f := New("nord")
+	f.Replace([]Member{member(1, "nord")})
+	picks(f, start, 5)
+	f.Change([]Member{member(2, "sued")}, nil)
+	got := picks(f, start.Add(10*time.Millisecond), 10)
+	is.Equal(got["10.0.0.2:1"], 1)
+	got = picks(f, start.Add(1200*time.Millisecond), 10)
+	is.Equal(got["10.0.0.2:1"], 1)
+}
+
+// A node refuses since its target leaves. It is passed over, for longer each
+// time, and is chosen again at once when it has taken a request.
+func TestSetAsideGrowsAndEnds(t *testing.T) {
+	is := is.New(t)
+	f := New("nord")
+	f.Replace([]Member{member(1, "nord")})
+	target := f.Pick("portal", start, nil)
+	now := start
+	for _, length := range []time.Duration{100, 200, 400, 800, 1500, 1500} {
+		target.SetAside(now)
+		target.SetAside(now) // a second refusal in the same absence does not lengthen it
+		is.Equal(f.Pick("portal", now.Add(length*time.Millisecond-1), nil), nil)
+		now = now.Add(length * time.Millisecond)
+		is.True(f.Pick("portal", now, nil) != nil)
+	}
+	target.SetAside(now)
+	target.Present()
+	is.True(f.Pick("portal", now, nil) != nil)
+}
+
+func TestFailingTargetIsChosenLess(t *testing.T) {
+	is := is.New(t)
+	f := New("nord")
+	f.Replace([]Member{member(1, "nord"), member(2, "nord")})
+	for range 30 {
+		f.view.Load().members["10.0.0.1:1"].Judge(true)
+	}
+	picks(f, start, 2)
+	is.Equal(picks(f, start, 20)["10.0.0.2:1"], 20)
+	for range 200 {
+		f.view.Load().members["10.0.0.1:1"].Judge(false)
+	}
+	is.True(picks(f, start, 200)["10.0.0.1:1"] > 20) // it recovers
+}
+
+func TestToldLoadIsForgotten(t *testing.T) {
+	is := is.New(t)
+	target := &Target{member: member(1, "nord")}
+	target.Begin()
+	target.Told(9, 10, start)
+	is.Equal(target.load(start), 1.0) // nine there, and one more
+	is.True(target.load(start.Add(3*time.Second)) < 0.3)
+}
+
+// A member's row is written anew with other slots; what was known of the others stays.
+func TestUnchangedMembersKeepWhatIsKnown(t *testing.T) {
+	is := is.New(t)
+	f := New("nord")
+	f.Replace([]Member{member(1, "nord"), member(2, "nord")})
+	before := f.view.Load().members["10.0.0.1:1"]
+	changed := member(2, "nord")
+	changed.Slots = 5
+	f.Replace([]Member{member(1, "nord"), changed})
+	is.True(f.view.Load().members["10.0.0.1:1"] == before)
+	f.Change(nil, []string{"10.0.0.2:1"})
+	is.Equal(f.Size(), 1)
+	_, found := f.Member("10.0.0.2:1")
+	is.True(!found)
+	value, err := changed.Encode()
+	is.NoErr(err)
+	read, err := DecodeMember(value)
+	is.NoErr(err)
+	is.Equal(read, changed)
+	_, err = DecodeMember([]byte("no"))
+	is.True(err != nil)
+}
--- /dev/null
+++ b/lib/bfhost/host_test.go
@@ -0,0 +1,353 @@
+package bfhost
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bilberryflow.org/lib/bfexchange"
+	"bilberryflow.org/lib/bfgroup"
+	"bilberryflow.org/lib/bfheader"
+	"bilberryflow.org/lib/bftimer"
+)
+
+var names = bfheader.Names{
+	RequestID: "T-Id", Deadline: "T-Deadline", ExpectTarget: "T-Expect", Target: "T-Target", NotRun: "T-Not-Run", CallerService: "T-Caller",
+}
+
+// rig is a host beside a scripted target.
+type rig struct {
+	*is.I
+	host    *Host
+	target  *httptest.Server
+	runs    atomic.Int32
+	changes atomic.Int32
+}
+
+func newRig(t *testing.T, serve http.HandlerFunc) *rig {
+	t.Helper()
+	r := &rig{I: is.New(t)}
+	r.target = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		r.runs.Add(1)
+		w.Header().Set(names.RequestID, q.Header.Get(names.RequestID))
+		serve(w, q)
+	}))
+	timer := bftimer.New(1)
+	group := bfgroup.New(context.Background())
+	group.Go("timer", timer.Run)
+	r.host = New(Parts{
+		Service: "portal", Names: names, Timer: timer,
+		Client:  bfexchange.New(bfexchange.Options{IDHeader: names.RequestID, DialTimeout: time.Second, IdleUnstated: time.Second}),
+		Changed: func(*Target) { r.changes.Add(1) },
+	})
+	t.Cleanup(func() {
+		r.target.CloseClientConnections()
+		r.target.Close()
+		group.Cancel()
+	})
+	return r
+}
+
+func (r *rig) beat(incarnation string, sequence int64, state State) {
+	r.host.Heard(Heartbeat{
+		Incarnation: incarnation, Sequence: sequence, Service: "portal", State: state, Slots: 2,
+		Address: strings.TrimPrefix(r.target.URL, "http://"),
+	})
+}
+
+func job(id string) Job {
+	return Job{
+		Request:  &bfexchange.Request{Method: http.MethodGet, Target: "/x", Host: "h", ID: id, Header: http.Header{names.RequestID: {id}}},
+		Deadline: time.Now().Add(2 * time.Second),
+		Policy:   Policy{Service: "portal", Class: "r", Repeatable: true},
+	}
+}
+
+func (r *rig) run(j Job) string {
+	switch end := r.host.Run(context.Background(), j).(type) {
+	case Refused:
+		return "refused " + string(end.Reason)
+	case Shed:
+		return "shed"
+	case Lost:
+		return "lost"
+	case Expired:
+		return fmt.Sprintf("expired sent=%v", end.Sent)
+	case Answered:
+		defer end.Answer.Close()
+		rest := ""
+		if end.Answer.Rest != nil {
+			data, err := io.ReadAll(end.Answer.Rest)
+			if err != nil {
+				return "cut"
+			}
+			rest = string(data)
+		}
+		return fmt.Sprintf("%d %s%s", end.Answer.Status, end.Answer.Head, rest)
+	}
+	return "?"
+}
+
+func hello(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "hello") }
+
+// A node that starts beside a target that runs knows nothing of it. Until the
+// target has been heard, the address may be another one's by now.
+func TestNothingRunsBeforeTheFirstHeartbeat(t *testing.T) {
+	r := newRig(t, hello)
+	r.Equal(r.run(job("1")), "refused no-target")
+	r.beat("a", 1, Ready)
+	r.Equal(r.run(job("2")), "200 hello")
+}
+
+// A target says that it drains, and an older heartbeat comes after that. Work
+// sent by the older one would be cut when the target exits.
+func TestDrainingIsFinal(t *testing.T) {
+	r := newRig(t, hello)
+	r.beat("a", 1, Ready)
+	r.beat("a", 5, Draining)
+	r.Equal(r.run(job("1")), "refused leaving")
+	r.beat("a", 4, Ready)
+	r.beat("a", 6, Ready)
+	r.Equal(r.run(job("2")), "refused leaving")
+	r.Equal(r.runs.Load(), int32(0))
+}
+
+// A target leaves without having said that it drains, and a heartbeat that was
+// under way arrives afterwards.
+func TestDepartureIsFinal(t *testing.T) {
+	r := newRig(t, hello)
+	r.beat("a", 1, Ready)
+	r.host.Left("a")
+	r.beat("a", 2, Ready)
+	r.Equal(r.run(job("1")), "refused leaving")
+	r.host.Left("never heard")
+	r.beat("never heard", 1, Ready)
+	r.Equal(r.run(job("2")), "refused leaving")
+	r.beat("b", 1, Ready)
+	r.Equal(r.run(job("3")), "200 hello")
+}
+
+// A target crashed and another has started at its address. A heartbeat of the
+// first, held up on the way, must not take the second one's place; but the second
+// takes the first one's as soon as the address says who it is.
+func TestLateHeartbeatOfACrashedTarget(t *testing.T) {
+	current := "b"
+	r := newRig(t, func(w http.ResponseWriter, q *http.Request) {
+		if q.Header.Get(names.ExpectTarget) != current {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		hello(w, q)
+	})
+	r.beat("b", 3, Ready)
+	r.beat("a", 40, Ready)
+	r.Equal(r.host.Target().Incarnation(), "b")
+	r.Equal(r.run(job("1")), "200 hello")
+	current = "c"
+	r.Equal(r.run(job("2")), "refused no-target")
+	r.beat("b", 4, Ready)
+	r.Equal(r.run(job("3")), "refused no-target") // b is known to be gone
+	r.beat("c", 1, Ready)
+	r.Equal(r.run(job("4")), "200 hello")
+}
+
+// The machine's address was another service's before; a node far away still
+// sends that service's requests here.
+func TestAnotherServicesRequestIsRefused(t *testing.T) {
+	r := newRig(t, hello)
+	r.beat("a", 1, Ready)
+	other := job("1")
+	other.Policy.Service = "vault"
+	r.Equal(r.run(other), "refused other-service")
+	r.host.Heard(Heartbeat{Incarnation: "z", Sequence: 9, Service: "vault", State: Ready, Slots: 2})
+	r.Equal(r.host.Target().Incarnation(), "a")
+	r.Equal(r.runs.Load(), int32(0))
+}
+
+func TestSlotsAreExact(t *testing.T) {
+	release := make(chan struct{})
+	r := newRig(t, func(w http.ResponseWriter, q *http.Request) { <-release; hello(w, q) })
+	r.beat("a", 1, Ready)
+	ends := make(chan string, 2)
+	group := bfgroup.New(context.Background())
+	for i := range 2 {
+		group.Go("run", func(context.Context) error { ends <- r.run(job(fmt.Sprint(i))); return nil })
+	}
+	for r.runs.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	r.Equal(r.run(job("third")), "refused full")
+	used, slots := r.host.Load()
+	r.Equal(used, 2)
+	r.Equal(slots, 2)
+	close(release)
+	r.Equal(<-ends, "200 hello")
+	r.Equal(<-ends, "200 hello")
+	r.Equal(r.run(job("fourth")), "200 hello")
+}
+
+func TestTargetIsToldWhatIsLeftAndWhoIsMeant(t *testing.T) {
+	var got http.Header
+	r := newRig(t, func(w http.ResponseWriter, q *http.Request) { got = q.Header; hello(w, q) })
+	r.beat("a", 1, Ready)
+	j := job("1")
+	j.Request.Header[names.Deadline] = []string{"99999"}
+	j.Deadline = time.Now().Add(500 * time.Millisecond)
+	r.Equal(r.run(j), "200 hello")
+	r.Equal(got.Get(names.ExpectTarget), "a")
+	var left int
+	_, err := fmt.Sscan(got.Get(names.Deadline), &left)
+	r.NoErr(err)
+	r.True(left > 400 && left <= 500)
+	j = job("2")
+	j.Deadline = time.Now()
+	r.Equal(r.run(j), "expired sent=false")
+}
+
+func TestEndsOfATarget(t *testing.T) {
+	r := newRig(t, func(w http.ResponseWriter, q *http.Request) {
+		switch q.Header.Get(names.RequestID) {
+		case "shed":
+			w.Header().Set(names.NotRun, "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case "lost":
+			panic(http.ErrAbortHandler)
+		case "cut":
+			w.Header().Set("Content-Length", "10")
+			_, _ = io.WriteString(w, "half")
+		case "long cut":
+			_, _ = io.WriteString(w, strings.Repeat("x", holdBytes+1))
+			panic(http.ErrAbortHandler)
+		case "long":
+			_, _ = io.WriteString(w, strings.Repeat("x", holdBytes+1))
+		case "own failure":
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+	})
+	r.beat("a", 1, Ready)
+	r.Equal(r.run(job("shed")), "shed")
+	r.Equal(r.run(job("lost")), "lost")
+	r.Equal(r.run(job("cut")), "lost") // nothing of it had gone on
+	r.Equal(r.run(job("long cut")), "cut")
+	r.Equal(len(r.run(job("long"))), len("200 ")+holdBytes+1)
+	r.Equal(r.run(job("own failure")), "500 ")
+	r.Equal(r.host.Running(), int64(0))
+	used, _ := r.host.Load()
+	r.Equal(used, 0)
+}
+
+// A caller of a nomination leaves while it runs. Broken off, nobody would know
+// whether it took effect; it runs to its end. A look-up is broken off at once.
+func TestCallerLeaves(t *testing.T) {
+	for _, repeatable := range []bool{true, false} {
+		t.Run(fmt.Sprint("repeatable ", repeatable), func(t *testing.T) {
+			began, broken := make(chan struct{}), make(chan bool, 1)
+			r := newRig(t, func(w http.ResponseWriter, q *http.Request) {
+				close(began)
+				select {
+				case <-q.Context().Done():
+					broken <- true
+				case <-time.After(200 * time.Millisecond):
+					broken <- false
+				}
+			})
+			r.beat("a", 1, Ready)
+			j := job("1")
+			j.Policy.Repeatable = repeatable
+			ctx, cancel := context.WithCancel(context.Background())
+			group := bfgroup.New(context.Background())
+			group.Go("leave", func(context.Context) error { <-began; cancel(); return nil })
+			r.host.Run(ctx, j)
+			r.Equal(<-broken, repeatable)
+		})
+	}
+}
+
+// A nested call is known by the request that the target runs at that moment; an
+// ID that merely looks like one is not.
+func TestParentOfANestedCall(t *testing.T) {
+	var r *rig
+	var nested, repeat, stranger bool
+	r = newRig(t, func(w http.ResponseWriter, q *http.Request) {
+		parent := r.host.Parent(q.Header.Get(names.RequestID) + ".call")
+		nested, stranger = parent != nil, r.host.Parent("other.call") != nil
+		repeat = parent != nil && parent.Repeat
+		hello(w, q)
+	})
+	r.beat("a", 1, Ready)
+	r.Equal(r.run(job("1")), "200 hello")
+	r.True(nested && !repeat && !stranger)
+	again := job("2")
+	again.Policy.Repeat = true
+	r.Equal(r.run(again), "200 hello")
+	r.True(nested && repeat)
+	r.True(r.host.Parent("2.call") == nil) // it has ended
+}
+
+func TestPolicyAndResultsBetweenNodes(t *testing.T) {
+	is := is.New(t)
+	p := Policy{Service: "portal", Class: "r-1 x", Rank: 3, Nested: true, Repeat: true, Repeatable: true, Patience: 40 * time.Millisecond}
+	h := http.Header{}
+	WritePolicy(h, p)
+	read, err := ReadPolicy(h)
+	is.NoErr(err)
+	is.Equal(read, p)
+	for _, text := range []string{"", "portal x - - - 0 r", "portal 1 - - - x r", "a b"} {
+		_, err := ReadPolicy(http.Header{policyHeader: {text}})
+		is.True(err != nil) // text
+	}
+	for _, result := range []Result{
+		Refused{Reason: Full, RetryAfter: 40 * time.Millisecond}, Shed{Status: 503}, Lost{Reason: "reset"}, Expired{Sent: true},
+	} {
+		w := httptest.NewRecorder()
+		writeResult(w, result)
+		read, ok := ReadResult(w.Header())
+		is.True(ok)
+		is.Equal(read, result)
+	}
+	_, ok := ReadResult(http.Header{})
+	is.True(!ok)
+	WriteLoad(h, 3, 12)
+	used, slots, told := ReadLoad(h)
+	is.Equal([]any{used, slots, told}, []any{3, 12, true})
+	_, _, told = ReadLoad(http.Header{bfheader.Load: {"x/12"}})
+	is.True(!told)
+}
+
+func TestInboundServesOtherNodes(t *testing.T) {
+	r := newRig(t, func(w http.ResponseWriter, q *http.Request) {
+		w.Header()["Content-Type"] = nil
+		body, _ := io.ReadAll(q.Body)
+		_, _ = fmt.Fprintf(w, "%s %s %s", q.Method, q.RequestURI, body)
+	})
+	r.beat("a", 1, Ready)
+	inbound := httptest.NewServer(NewInbound(r.host))
+	defer inbound.Close()
+	client := bfexchange.New(bfexchange.Options{DialTimeout: time.Second, IdleUnstated: time.Second})
+	request := &bfexchange.Request{
+		Method: http.MethodPost, Target: "/x/..//y?z", Host: "h", Head: []byte("body"), Length: 4,
+		Header: http.Header{names.RequestID: {"1"}, names.Deadline: {"900"}},
+	}
+	WritePolicy(request.Header, Policy{Service: "portal", Class: "r"})
+	answer, err := client.Send(context.Background(), strings.TrimPrefix(inbound.URL, "http://"), request)
+	r.NoErr(err)
+	body, err := io.ReadAll(answer)
+	r.NoErr(err)
+	r.Equal(string(body), "POST /x/..//y?z body")
+	_, typed := answer.Header()["Content-Type"]
+	r.True(!typed) // none was guessed
+	answer.Close()
+	delete(request.Header, policyHeader)
+	answer, err = client.Send(context.Background(), strings.TrimPrefix(inbound.URL, "http://"), request)
+	r.NoErr(err)
+	r.Equal(answer.Status(), http.StatusBadRequest)
+	answer.Close()
+}
--- /dev/null
+++ b/lib/bfslot/gate_test.go
@@ -0,0 +1,126 @@
+package bfslot
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bilberryflow.org/lib/bfgroup"
+	"bilberryflow.org/lib/bftimer"
+)
+
+// under runs fn on a gate of a number of slots, in simulated time.
+func under(t *testing.T, slots int, fn func(is *is.I, g *Gate, group *bfgroup.Group)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		timer := bftimer.New(1)
+		group := bfgroup.New(context.Background())
+		group.Go("timer", timer.Run)
+		g := New(timer)
+		g.Resize(slots)
+		fn(is.New(t), g, group)
+		group.Cancel()
+		if err := group.Wait(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func TestNoMoreThanTheSlots(t *testing.T) {
+	under(t, 2, func(is *is.I, g *Gate, _ *bfgroup.Group) {
+		ctx := context.Background()
+		first, err := g.Acquire(ctx, Request{})
+		is.NoErr(err)
+		_, err = g.Acquire(ctx, Request{})
+		is.NoErr(err)
+		_, err = g.Acquire(ctx, Request{})
+		var full *FullError
+		is.True(errors.As(err, &full))
+		is.True(full.RetryAfter > 0)
+		first.Release()
+		first.Release() // a second one gives nothing back
+		_, err = g.Acquire(ctx, Request{})
+		is.NoErr(err)
+		_, err = g.Acquire(ctx, Request{})
+		is.True(errors.As(err, &full))
+	})
+}
+
+// A look-up holds a slot elsewhere while its nested call waits here. Callers'
+// own requests that came earlier, and rank higher, must not go before it.
+func TestNestedCallsGoFirst(t *testing.T) {
+	under(t, 1, func(is *is.I, g *Gate, group *bfgroup.Group) {
+		held, err := g.Acquire(context.Background(), Request{})
+		is.NoErr(err)
+		got := make(chan string, 3)
+		wait := func(name string, r Request) {
+			r.Patience = time.Second
+			group.Go(name, func(ctx context.Context) error {
+				slot, err := g.Acquire(ctx, r)
+				if err != nil {
+					got <- "refused " + name
+					return nil
+				}
+				got <- name
+				slot.Release()
+				return nil
+			})
+			synctest.Wait()
+		}
+		wait("later rank", Request{Rank: 2})
+		wait("first rank", Request{Rank: 0})
+		wait("nested", Request{Rank: 3, Nested: true})
+		used, slots := g.Load()
+		is.Equal(used, 4)
+		is.Equal(slots, 1)
+		held.Release()
+		is.Equal(<-got, "nested")
+		is.Equal(<-got, "first rank")
+		is.Equal(<-got, "later rank")
+	})
+}
+
+func TestPatienceEnds(t *testing.T) {
+	under(t, 1, func(is *is.I, g *Gate, _ *bfgroup.Group) {
+		_, err := g.Acquire(context.Background(), Request{})
+		is.NoErr(err)
+		began := time.Now()
+		_, err = g.Acquire(context.Background(), Request{Patience: 40 * time.Millisecond})
+		var full *FullError
+		is.True(errors.As(err, &full))
+		is.Equal(time.Since(began), 40*time.Millisecond)
+		used, _ := g.Load()
+		is.Equal(used, 1) // the one that gave up waits no more
+	})
+}
+
+// A caller leaves in the moment in which it is given a slot. The slot must not
+// be lost: a target would serve one request less for good.
+func TestSlotOfALeaverIsNotLost(t *testing.T) {
+	under(t, 1, func(is *is.I, g *Gate, group *bfgroup.Group) {
+		for range 50 {
+			held, err := g.Acquire(context.Background(), Request{})
+			is.NoErr(err)
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			group.Go("leaver", func(context.Context) error {
+				defer close(done)
+				if slot, err := g.Acquire(ctx, Request{Patience: time.Second}); err == nil {
+					slot.Release()
+				}
+				return nil
+			})
+			synctest.Wait()
+			group.Go("cancel", func(context.Context) error { cancel(); return nil })
+			held.Release()
+			<-done
+			synctest.Wait()
+			used, _ := g.Load()
+			is.Equal(used, 0)
+		}
+	})
+}
--- /dev/null
+++ b/lib/bftraffic/traffic_test.go
@@ -0,0 +1,111 @@
+package bftraffic
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func route(name, host, prefix string, destinations ...Destination) RouteSpec {
+	if len(destinations) == 0 {
+		destinations = []Destination{{Service: "portal", Weight: 1}}
+	}
+	return RouteSpec{
+		Name: name, Host: host, Prefix: prefix, Kind: Idempotent, Timeout: time.Second,
+		Objective: 300 * time.Millisecond, MaxAttempts: 2, Destinations: destinations,
+	}
+}
+
+func spec(version Version, routes ...RouteSpec) Spec {
+	return Spec{Version: version, Routes: routes, Services: []ServiceSpec{{Name: "portal"}, {Name: "vault"}}}
+}
+
+func mustSnapshot(t *testing.T, s Spec) *Snapshot {
+	t.Helper()
+	snapshot, err := NewSnapshot(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return snapshot
+}
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	is := is.New(t)
+	s := mustSnapshot(t, spec(1, route("all", "a.example", "/"), route("logo", "a.example", "/logo/"),
+		route("deep", "a.example", "/logo/sheets/"), route("other", "B.example", "/logo/")))
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/", "all"},
+		{"a.example", "/logo", "all"}, // no slash, so not under /logo/
+		{"a.example", "/logo/", "logo"},
+		{"A.Example:8080", "/logo/x", "logo"},
+		{"a.example", "/logo/sheets/1/2", "deep"},
+		{"a.example", "/logo/sheetsx/1", "logo"},
+		{"a.example", "/logo/%2e%2e/x", "logo"}, // taken as it came
+		{"b.example", "/logo/x", "other"},
+		{"b.example", "/x/", ""},
+		{"c.example", "/logo/x", ""},
+		{"a.example", "*", ""},
+	} {
+		got := ""
+		if found := s.Match(c.host, c.path); found != nil {
+			got = found.Name()
+		}
+		is.Equal(got, c.want) // host and path
+	}
+}
+
+func TestWrongConfigurationIsRefusedWhole(t *testing.T) {
+	is := is.New(t)
+	breakages := map[string]func(*Spec){
+		"version":                func(s *Spec) { s.Version = 0 },
+		"route r host":           func(s *Spec) { s.Routes[0].Host = "" },
+		"route r prefix":         func(s *Spec) { s.Routes[0].Prefix = "/cut" },
+		"route r kind":           func(s *Spec) { s.Routes[0].Kind = 0 },
+		"route r timeout":        func(s *Spec) { s.Routes[0].Timeout = 0 },
+		"route r attempts":       func(s *Spec) { s.Routes[0].MaxAttempts = 0 },
+		"route r services":       func(s *Spec) { s.Routes[0].Destinations = nil },
+		"route r service":        func(s *Spec) { s.Routes[0].Destinations[0].Service = "gone" },
+		"route r weight":         func(s *Spec) { s.Routes[0].Destinations[0].Weight = 0 },
+		"route same prefix":      func(s *Spec) { s.Routes = append(s.Routes, route("same", "A.example", "/r/")) },
+		"route r weight below 0": func(s *Spec) { s.Routes[0].Destinations[0].Weight = -1 },
+	}
+	for field, breakIt := range breakages {
+		s := spec(3, route("r", "a.example", "/r/"))
+		breakIt(&s)
+		_, err := NewSnapshot(s)
+		var wrong *SpecError
+		is.True(errors.As(err, &wrong)) // refused, with the field named
+		is.True(wrong.Field == field || wrong.Field+" below 0" == field)
+	}
+}
+
+// A route sends a tenth of its requests to a new service. An operator who looks
+// after three hundred requests expects thirty there, on each node alone.
+func TestSharesAreExact(t *testing.T) {
+	is := is.New(t)
+	s := mustSnapshot(t, spec(1, route("r", "a.example", "/", Destination{"portal", 90}, Destination{"vault", 10})))
+	count := 0
+	const requests = 300
+	for range requests {
+		if s.Match("a.example", "/x").Destination() == "vault" {
+			count++
+		}
+	}
+	is.True(count >= 28 && count <= 32)
+}
+
+// The store sends version 41 late, after a peer has sent 42. Callers must not be
+// routed by 41 again.
+func TestHolderNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	var seen []Version
+	h := NewHolder(func(s *Snapshot) { seen = append(seen, s.Version()) })
+	is.Equal(h.Version(), Version(0))
+	is.True(h.Adopt(mustSnapshot(t, spec(42, route("r", "a.example", "/")))))
+	is.True(!h.Adopt(mustSnapshot(t, spec(41, route("r", "a.example", "/")))))
+	is.True(!h.Adopt(mustSnapshot(t, spec(42, route("r", "a.example", "/")))))
+	is.True(h.Adopt(mustSnapshot(t, spec(47, route("r", "a.example", "/")))))
+	is.Equal(seen, []Version{42, 47})
+}
