--- /dev/null
+++ b/lib/bffollow/follow_test.go
@@ -0,0 +1,186 @@
+package bffollow
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bilberryflow.org/lib/bfgroup"
+	"bilberryflow.org/lib/bflog"
+	"bilberryflow.org/lib/bfmetric"
+	"bilberryflow.org/lib/bfstore"
+	"bilberryflow.org/lib/bftimer"
+)
+
+// faulty is a store that can be down.
+type faulty struct {
+	*bfstore.MemoryRows
+	mu    sync.Mutex
+	down  bool
+	calls int
+	lists int
+}
+
+func (f *faulty) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+func (f *faulty) count() (calls, lists int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls, f.lists
+}
+
+func (f *faulty) call(list bool) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	if list {
+		f.lists++
+	}
+	if f.down {
+		return &bfstore.UnavailableError{Reason: "test"}
+	}
+	return nil
+}
+
+func (f *faulty) List(ctx context.Context, table string) ([]bfstore.Entry, uint64, error) {
+	if err := f.call(true); err != nil {
+		return nil, 0, err
+	}
+	return f.MemoryRows.List(ctx, table)
+}
+
+func (f *faulty) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]bfstore.Entry, uint64, error) {
+	if err := f.call(false); err != nil {
+		return nil, 0, err
+	}
+	return f.MemoryRows.Changes(ctx, table, after, wait)
+}
+
+// under follows a table in simulated time; held tells what the follower's user holds.
+func under(t *testing.T, fn func(is *is.I, store *faulty, f *Follower, held func() map[string]string)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		store := &faulty{MemoryRows: bfstore.NewMemoryRows()}
+		var mu sync.Mutex
+		rows := map[string]string{}
+		timer := bftimer.New(1)
+		f := New(Parts{
+			Table: "t", Rows: store, Timer: timer, Logger: bflog.Discard(), Metrics: bfmetric.New(),
+			Apply: func(b Batch) {
+				mu.Lock()
+				defer mu.Unlock()
+				if b.Whole {
+					clear(rows)
+				}
+				for _, e := range b.Entries {
+					if e.Removed {
+						delete(rows, e.Key)
+					} else {
+						rows[e.Key] = string(e.Value)
+					}
+				}
+			},
+		})
+		group := bfgroup.New(context.Background())
+		group.Go("timer", timer.Run)
+		group.Go("follow", f.Run)
+		fn(is.New(t), store, f, func() map[string]string {
+			mu.Lock()
+			defer mu.Unlock()
+			copied := map[string]string{}
+			for k, v := range rows {
+				copied[k] = v
+			}
+			return copied
+		})
+		group.Cancel()
+		if err := group.Wait(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func put(is *is.I, store *faulty, key, value string, revision uint64) uint64 {
+	revision, err := store.Put(context.Background(), "t", key, []byte(value), revision)
+	is.NoErr(err)
+	return revision
+}
+
+func TestChangesArriveAtOnce(t *testing.T) {
+	under(t, func(is *is.I, store *faulty, f *Follower, held func() map[string]string) {
+		time.Sleep(time.Second)
+		revision := put(is, store, "a", "1", 0)
+		synctest.Wait()
+		is.Equal(held(), map[string]string{"a": "1"})
+		is.True(f.Healthy())
+		is.NoErr(store.Remove(context.Background(), "t", "a", revision))
+		time.Sleep(gather)
+		synctest.Wait()
+		is.Equal(held(), map[string]string{})
+	})
+}
+
+// Twenty changes come within two seconds. Each call is paid for, so they are
+// gathered; the last one is held soon after it came all the same.
+func TestStormCostsFewCalls(t *testing.T) {
+	under(t, func(is *is.I, store *faulty, _ *Follower, held func() map[string]string) {
+		time.Sleep(time.Second)
+		before, _ := store.count()
+		revision := uint64(0)
+		for i := range 20 {
+			revision = put(is, store, "a", string(rune('a'+i)), revision)
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(gather)
+		after, _ := store.count()
+		is.Equal(held(), map[string]string{"a": "t"})
+		is.True(after-before <= 9)
+	})
+}
+
+// The store drops its history while a row was removed in the gap. A follower
+// that merely went on from the newest revision would hold that row for good.
+func TestDroppedHistoryIsReadAnew(t *testing.T) {
+	under(t, func(is *is.I, store *faulty, _ *Follower, held func() map[string]string) {
+		revision := put(is, store, "a", "1", 0)
+		put(is, store, "b", "1", 0)
+		time.Sleep(time.Second)
+		store.setDown(true)
+		time.Sleep(waitForChange + time.Second)
+		is.NoErr(store.Remove(context.Background(), "t", "a", revision))
+		store.DropHistory()
+		store.setDown(false)
+		time.Sleep(2 * time.Second)
+		is.Equal(held(), map[string]string{"b": "1"})
+		_, lists := store.count()
+		is.Equal(lists, 2)
+	})
+}
+
+// The store is away for a minute and returns. What changed is held within two
+// seconds of its return, and the calls in between were few.
+func TestStoreReturns(t *testing.T) {
+	under(t, func(is *is.I, store *faulty, f *Follower, held func() map[string]string) {
+		time.Sleep(time.Second)
+		store.setDown(true)
+		time.Sleep(waitForChange)
+		before, _ := store.count()
+		time.Sleep(time.Minute)
+		after, _ := store.count()
+		is.True(!f.Healthy())
+		is.True(after-before <= 100)
+		put(is, store, "a", "1", 0)
+		store.setDown(false)
+		time.Sleep(2 * time.Second)
+		is.Equal(held(), map[string]string{"a": "1"})
+		is.True(f.Healthy())
+	})
+}
