Where to send at high load: bytes decide on the domain, urgent requests wait once, the shortest first

Change: a route's mean bytes weigh against another domain; targets there that told they were full 25 ms ago are passed over; urgent requests and downloads that all refused wait once, nested first, then by rank and expected time.

--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -27,6 +27,9 @@
 	// tried are the targets that were asked, sent how often one was reached.
 	tried []*bffleet.Target
 	sent  int
+	// last says that no other target is asked if this one is full, so that the
+	// request may wait there.
+	last bool
 }
 
 // run sends the request from target to target until it has an end.
@@ -40,17 +43,26 @@
 	var last bfhost.Result = bfhost.Refused{Reason: bfhost.NoTarget, RetryAfter: startingPause}
 	for {
 		now := c.handler.parts.Timer.Now()
-		target := c.handler.parts.Fleet.Pick(c.service, now, c.tried)
+		choice := c.handler.parts.Fleet.Pick(c.service, c.handler.sizes.of(c.route.Name()), now, c.tried)
+		target := choice.Target()
+		if target == nil && c.mayWait(last) {
+			c.last, c.tried = true, nil
+			continue
+		}
 		if target == nil {
 			return c.settle(last)
 		}
 		c.tried = append(c.tried, target)
+		c.last = c.last || c.route.Kind() == bftraffic.Download && choice.Full()
 		end := c.attempt(ctx, target)
 		switch end := end.(type) {
 		case bfhost.Refused:
 			if _, unsettled := last.(bfhost.Lost); !unsettled {
 				last = worst(last, end)
 			}
+			if c.last && end.Reason == bfhost.Full {
+				return c.settle(last)
+			}
 		case bfhost.Shed:
 			c.sent++
 			last = end
@@ -86,6 +98,20 @@
 	return end
 }
 
+// mayWait reports whether a request that every target refused may wait at one.
+func (c *call) mayWait(last bfhost.Result) bool {
+	refused, ok := last.(bfhost.Refused)
+	return ok && refused.Reason == bfhost.Full && !c.last && c.waits()
+}
+
+// waits reports whether the request may wait for a slot. Where all targets are
+// full the others are refused at once: those that waited would be late, and the
+// slots that they then take others would have had in time. A download waits at
+// the node's own failure domain, since its bytes cost much on the way to another.
+func (c *call) waits() bool {
+	return c.route.Urgent() || c.route.Kind() == bftraffic.Download
+}
+
 // worst is the refusal that says most: a full target was there at least.
 func worst(a, b bfhost.Result) bfhost.Result {
 	refused, ok := a.(bfhost.Refused)
@@ -178,14 +204,17 @@
 	// nestedPatience is the part of its objective for which a nested call waits
 	// for a slot: its parent holds one elsewhere all the while.
 	nestedPatience = 0.5
-	// patience is that of other requests.
-	patience = 0.0
+	// lastPatience is that of other requests at the last target that is asked.
+	lastPatience = 0.15
 )
 
 func (c *call) patience() time.Duration {
-	share := patience
-	if c.parent != nil {
+	share := 0.0
+	switch {
+	case c.parent != nil:
 		share = nestedPatience
+	case c.last && c.waits():
+		share = lastPatience
 	}
 	return time.Duration(share * float64(c.route.Objective()))
 }
--- a/lib/bfentry/handler.go
+++ b/lib/bfentry/handler.go
@@ -42,6 +42,7 @@
 type Handler struct {
 	parts   Parts
 	budgets budgets
+	sizes   sizes
 	metrics metrics
 	// active is how many requests are in progress.
 	active atomic.Int64
@@ -115,6 +116,7 @@
 	switch end := end.(type) {
 	case bfhost.Answered:
 		defer end.Answer.Close()
+		h.sizes.learn(c.route.Name(), len(c.request.Head)+len(end.Answer.Head))
 		bfheader.Strip(end.Answer.Header)
 		bfhost.Relay(w, r, end.Answer)
 	case bfhost.Refused:
--- a/lib/bffleet/fleet.go
+++ b/lib/bffleet/fleet.go
@@ -99,11 +99,18 @@
 
 const (
 	// otherDomain is the load by which a target in another failure domain is
-	// passed over for one in the node's own: bytes between domains are paid for.
-	otherDomain = 0.6
+	// passed over for one in the node's own: the way is longer.
+	otherDomain = 0.3
+	// bytesOfLoad is how many bytes sent between domains weigh as much as a whole
+	// load. Bytes between domains are paid for, at the users' prices a download of
+	// 90 kB with about what its answer is worth; a short answer costs next to nothing.
+	bytesOfLoad = 20_000
 	// overfull is added where all slots are believed in use; the next best is
 	// asked first.
 	overfull = 1.0
+	// fullFor is how long a full target in another domain is not asked again;
+	// each of its slots is held about five times as long.
+	fullFor = 25 * time.Millisecond
 	// failingCost is the load that a target counts for that fails every request.
 	failingCost = 2.0
 	// jitter keeps nodes that were told the same loads from choosing the same target.
@@ -113,34 +120,56 @@
 	probeInterval = time.Second
 )
 
-// Pick chooses the target of a service for the next sending, nil where none is left.
-func (f *Fleet) Pick(service string, now time.Time, tried []*Target) *Target {
-	var best *Target
+// Choice is the target of the next sending.
+type Choice struct {
+	target *Target
+	full   bool
+}
+
+// Target is who was chosen, nil where none is left.
+func (c Choice) Target() *Target { return c.target }
+
+// Full reports whether all slots of the target are believed in use: none that
+// was left to choose has a free one.
+func (c Choice) Full() bool { return c.full }
+
+// Pick chooses the target of a service for a request that moves a number of
+// bytes with its answer.
+func (f *Fleet) Pick(service string, bytes int, now time.Time, tried []*Target) Choice {
+	var best Choice
 	bestCost := 0.0
 	for _, t := range f.view.Load().services[service] {
-		if t.aside(now) || slices.Contains(tried, t) {
+		if t.aside(now) || slices.Contains(tried, t) || t.surelyFull(f.domain, now) {
 			continue
 		}
-		cost := t.cost(f.domain, now)
-		if best == nil || cost < bestCost {
-			best, bestCost = t, cost
+		cost, full := t.cost(f.domain, bytes, now)
+		if best.target == nil || cost < bestCost {
+			best, bestCost = Choice{t, full}, cost
 		}
 	}
-	if best != nil {
-		best.probed.Store(now.UnixNano())
+	if best.target != nil {
+		best.target.probed.Store(now.UnixNano())
 	}
 	return best
 }
 
-func (t *Target) cost(domain string, now time.Time) float64 {
+// surelyFull reports whether a target in another domain said moments ago that it
+// has no free slot. To ask it again costs bytes between domains for next to no chance.
+func (t *Target) surelyFull(domain string, now time.Time) bool {
+	told := t.told.Load()
+	return t.member.Domain != domain && told != nil && told.used >= told.slots && now.Sub(told.when) < fullFor
+}
+
+func (t *Target) cost(domain string, bytes int, now time.Time) (cost float64, full bool) {
 	load := t.load(now)
-	cost := load + jitter*rand.Float64() + failingCost*float64(t.failing.Load())/whole
-	if load > 1 {
+	full = load > 1
+	cost = load + jitter*rand.Float64() + failingCost*float64(t.failing.Load())/whole
+	if full {
 		cost += overfull
 	}
 	stale := now.UnixNano()-t.probed.Load() > int64(probeInterval)
 	if t.member.Domain != domain && !stale {
-		cost += otherDomain
+		cost += otherDomain + float64(bytes)/bytesOfLoad
 	}
-	return cost
+	return cost, full
 }
--- a/lib/bfslot/gate.go
+++ b/lib/bfslot/gate.go
@@ -48,7 +48,9 @@
 type waiter struct {
 	request Request
 	arrived uint64
-	granted chan bool
+	// expected is how long the request is expected to hold a slot.
+	expected time.Duration
+	granted  chan bool
 }
 
 // New makes a gate with no slots; Resize gives it some.
@@ -122,16 +124,20 @@
 		return nil, &FullError{RetryAfter: g.nextFree()}
 	}
 	g.arrived++
-	w := &waiter{request: request, arrived: g.arrived, granted: make(chan bool, 1)}
+	w := &waiter{request: request, arrived: g.arrived, expected: g.expected(request.Class), granted: make(chan bool, 1)}
 	at, _ := slices.BinarySearchFunc(g.waiting, w, order)
 	g.waiting = slices.Insert(g.waiting, at, w)
 	return w, nil
 }
 
+// order puts nested calls first, then higher ranks. Among equal ranks the one that
+// is expected to hold a slot for the shortest time goes first: where not all can
+// be served, most are so.
 func order(a, b *waiter) int {
 	return cmp.Or(
 		cmp.Compare(nestedFirst(a), nestedFirst(b)),
 		cmp.Compare(a.request.Rank, b.request.Rank),
+		cmp.Compare(a.expected, b.expected),
 		cmp.Compare(a.arrived, b.arrived),
 	)
 }
@@ -162,6 +168,14 @@
 // usualRunning stands for a running time as long as none was measured.
 const usualRunning = 100 * time.Millisecond
 
+// expected is how long a request of the class is expected to hold a slot; it needs the lock.
+func (g *Gate) expected(class string) time.Duration {
+	if mean, known := g.running[class]; known {
+		return mean
+	}
+	return usualRunning
+}
+
 // nextFree is when a slot is expected for one more request, given those that wait.
 func (g *Gate) nextFree() time.Duration {
 	var sum time.Duration
--- a/lib/bftraffic/snapshot.go
+++ b/lib/bftraffic/snapshot.go
@@ -20,16 +20,28 @@
 		return nil, err
 	}
 	s := &Snapshot{spec: spec, hosts: map[string]map[string]*Route{}}
+	lowest := lowestRanks(spec.Routes)
 	for _, route := range spec.Routes {
 		host := strings.ToLower(route.Host)
 		if s.hosts[host] == nil {
 			s.hosts[host] = map[string]*Route{}
 		}
-		s.hosts[host][route.Prefix] = newRoute(route)
+		s.hosts[host][route.Prefix] = newRoute(route, lowest)
 	}
 	return s, nil
 }
 
+// lowestRanks is the lowest rank, the largest number, of each service's routes.
+func lowestRanks(routes []RouteSpec) map[string]int {
+	lowest := map[string]int{}
+	for _, route := range routes {
+		for _, d := range route.Destinations {
+			lowest[d.Service] = max(lowest[d.Service], route.Rank)
+		}
+	}
+	return lowest
+}
+
 // Version is the configuration's version.
 func (s *Snapshot) Version() Version { return s.spec.Version }
 
@@ -68,14 +80,17 @@
 type Route struct {
 	spec  RouteSpec
 	total int
+	// urgent says that routes of a lower rank share a service with this one.
+	urgent bool
 	// turn counts the requests that were dealt to the destinations.
 	turn atomic.Uint32
 }
 
-func newRoute(spec RouteSpec) *Route {
+func newRoute(spec RouteSpec, lowest map[string]int) *Route {
 	r := &Route{spec: spec}
 	for _, d := range spec.Destinations {
 		r.total += d.Weight
+		r.urgent = r.urgent || spec.Rank < lowest[d.Service]
 	}
 	// Nodes that all began at the same place would deal their first requests to
 	// the same destination.
@@ -101,6 +116,9 @@
 // Rank orders routes at a full target; 0 goes first.
 func (r *Route) Rank() int { return r.spec.Rank }
 
+// Urgent reports whether another route of one of its services has a lower rank.
+func (r *Route) Urgent() bool { return r.urgent }
+
 // goldenStep is 2^32 divided by the golden ratio. Its multiples spread over the
 // range more evenly than random numbers, so that shares are exact to about one
 // request in any run of requests.
