A stopping node serves on for a second and exits as soon as nothing runs

Change: the target's slots stay for 1.2 s, callers are refused from 2.3 s on, the process ends when nothing runs.

--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -65,6 +65,8 @@
 	// nodeIdle is how long one to another node is kept; it is below the time
 	// after which bfserver closes it.
 	nodeIdle = 30 * time.Second
+	// closeTimeout is how long the ports may take to close after the drain.
+	closeTimeout = 100 * time.Millisecond
 	// sweepInterval is how often unused connections are closed.
 	sweepInterval = 5 * time.Second
 )
@@ -79,7 +81,7 @@
 	return bfprogram.App{
 		Servers:     append(ports, n),
 		Drain:       n.drain,
-		StopTimeout: settings.Grace.Std(),
+		StopTimeout: settings.Grace.Std(), CloseTimeout: closeTimeout,
 	}, nil
 }
 
--- a/bfnode/internal/bfmesh/stop.go
+++ b/bfnode/internal/bfmesh/stop.go
@@ -23,44 +23,41 @@
 }
 
 const (
-	// closeShare is the part of the grace after which new requests are refused:
-	// those taken before still have the rest of it to end.
-	closeShare = 0.45
-	// quietFor is how long no request may have come before the node exits early.
-	// Platforms stop sending callers after two questions a second apart.
-	quietFor = 800 * time.Millisecond
-	// earliest is when the node exits at the earliest, for the same reason.
-	earliest = 2200 * time.Millisecond
+	// leaveAfter is how long the node serves other nodes' requests on. Callers
+	// stay for about two of the platform's questions, a second apart; a node that
+	// left at once would take its target's slots out of the fleet for all that time.
+	leaveAfter = 1200 * time.Millisecond
+	// closeAfter is when callers are refused. Those that still come then come on
+	// kept connections and go on for seconds: waiting for them keeps the node, and
+	// so its target, out of the fleet until it is killed.
+	closeAfter = 2300 * time.Millisecond
 	// lastShare is the part of the grace at which the node exits whatever runs:
 	// later it would be killed in the middle of an answer.
 	lastShare = 0.92
 	// checkInterval is how often the end of the work is looked for.
-	checkInterval = 50 * time.Millisecond
+	checkInterval = 20 * time.Millisecond
 )
 
-// drain is the graceful stop: readiness goes first, callers are served on until
-// they have left, and the process exits when nothing is in flight.
-//
-// The node leaves the fleet at once, since its target is out of reach when it
-// has gone; until others know, its refusals send their requests elsewhere.
+// drain is the graceful stop: readiness goes first, callers and other nodes are
+// served on for a while, and the process exits when nothing is in flight.
 func (n *node) drain(ctx context.Context) {
 	began := n.timer.Now()
-	grace := n.settings.Grace.Std()
+	last := time.Duration(lastShare * float64(n.settings.Grace.Std()))
 	n.ready.leaving.Store(true)
-	n.presence.Want(nil)
-	n.host.Leave()
 	n.entry.Leave()
 	for {
-		now := n.timer.Now()
-		passed := now.Sub(began)
-		if passed > time.Duration(closeShare*float64(grace)) {
-			n.entry.Close()
+		passed := n.timer.Now().Sub(began)
+		if passed > leaveAfter && !n.host.Leaving() {
+			n.presence.Want(nil)
+			n.host.Leave()
 		}
-		idle := n.entry.Active() == 0 && n.host.Running() == 0 && now.Sub(n.entry.LastRequest()) > quietFor
-		if idle && passed > earliest || passed > time.Duration(lastShare*float64(grace)) {
-			return
+		if passed > closeAfter {
+			n.entry.Close()
+			if n.entry.Active() == 0 && n.host.Running() == 0 && n.presence.Settled() {
+				return
+			}
 		}
-		if n.timer.Wait(ctx, checkInterval) != nil {
+		if passed > last || n.timer.Wait(ctx, checkInterval) != nil {
 			return
 		}
 	}
--- a/lib/bfentry/handler.go
+++ b/lib/bfentry/handler.go
@@ -48,8 +48,6 @@
 	active atomic.Int64
 	// leaving has callers told to come back on a new connection, closed that nothing more is taken.
 	leaving, closed atomic.Bool
-	// last is when a request last came, in nanoseconds since 1970.
-	last atomic.Int64
 }
 
 // New makes the handler of the callers' port.
@@ -60,13 +58,11 @@
 // Active is how many requests are in progress.
 func (h *Handler) Active() int64 { return h.active.Load() }
 
-// LastRequest is when a request last came.
-func (h *Handler) LastRequest() time.Time { return time.Unix(0, h.last.Load()) }
-
 // Leave has every answer close its connection.
 func (h *Handler) Leave() { h.leaving.Store(true) }
 
-// Close refuses every request from now on.
+// Close refuses callers' requests from now on. Nested calls of what the target
+// beside this node still runs go on: refused, their parents would fail.
 func (h *Handler) Close() { h.closed.Store(true) }
 
 // startingPause is when to come back to a node that has no configuration yet: a
@@ -78,12 +74,12 @@
 	now := h.parts.Timer.Now()
 	h.active.Add(1)
 	defer h.active.Add(-1)
-	h.last.Store(now.UnixNano())
 	if h.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	traffic := h.parts.Traffic.Current()
-	if traffic == nil || h.closed.Load() {
+	parent := h.parts.Host.Parent(r.Header.Get(h.parts.Names.RequestID))
+	if traffic == nil || parent == nil && h.closed.Load() {
 		refuse(w, startingPause)
 		return
 	}
@@ -93,7 +89,7 @@
 		http.Error(w, "no route", http.StatusNotFound)
 		return
 	}
-	c, err := h.newCall(r, route, now)
+	c, err := h.newCall(r, route, parent, now)
 	if err != nil {
 		// The body broke off: the caller has gone or its connection has.
 		http.Error(w, "unreadable request: "+err.Error(), http.StatusBadRequest)
@@ -153,10 +149,10 @@
 }
 
 // newCall reads a request.
-func (h *Handler) newCall(r *http.Request, route *bftraffic.Route, now time.Time) (*call, error) {
+func (h *Handler) newCall(r *http.Request, route *bftraffic.Route, parent *bfhost.Parent, now time.Time) (*call, error) {
 	c := &call{
 		handler: h, caller: r.Context(), route: route, service: route.Destination(), arrived: now,
-		deadline: now.Add(route.Timeout()), parent: h.parts.Host.Parent(r.Header.Get(h.parts.Names.RequestID)),
+		deadline: now.Add(route.Timeout()), parent: parent,
 	}
 	if left, err := strconv.ParseInt(r.Header.Get(h.parts.Names.Deadline), 10, 64); err == nil && left > 0 {
 		if asked := now.Add(time.Duration(left) * time.Millisecond); asked.Before(c.deadline) {
--- a/lib/bfhost/host.go
+++ b/lib/bfhost/host.go
@@ -87,6 +87,9 @@
 // Leave has the node take no new work for its target.
 func (h *Host) Leave() { h.leaving.Store(true) }
 
+// Leaving reports whether the node takes no new work for its target.
+func (h *Host) Leaving() bool { return h.leaving.Load() }
+
 // Running is how many requests the target works on.
 func (h *Host) Running() int64 { return h.running.Load() }
 
--- a/lib/bfhost/inbound.go
+++ b/lib/bfhost/inbound.go
@@ -26,7 +26,7 @@
 	result := i.host.Run(r.Context(), job)
 	used, slots := i.host.Load()
 	WriteLoad(w.Header(), used, slots)
-	if i.host.leaving.Load() {
+	if i.host.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
 	answered, ok := result.(Answered)
--- a/lib/bfprogram/program.go
+++ b/lib/bfprogram/program.go
@@ -1,6 +1,7 @@
 package bfprogram
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -43,6 +44,9 @@
 	Reload func(settings any)
 	// StopTimeout bounds the whole graceful stop.
 	StopTimeout time.Duration
+	// CloseTimeout bounds the stop of the servers once Drain has returned, which
+	// left nothing in flight or gave it up; 0 means StopTimeout.
+	CloseTimeout time.Duration
 }
 
 // Program describes one daemon; S is its settings struct.
@@ -206,7 +210,7 @@
 		kratos.Version(Version),
 		kratos.Server(app.Servers...),
 		kratos.Signal(stopSignals...),
-		kratos.StopTimeout(app.StopTimeout),
+		kratos.StopTimeout(cmp.Or(app.CloseTimeout, app.StopTimeout)),
 		kratos.BeforeStop(func(ctx context.Context) error {
 			drained.Do(func() {
 				logger.Emit(bflog.ProcessStopping)
