--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -43,7 +43,7 @@
 	var last bfhost.Result = bfhost.Refused{Reason: bfhost.NoTarget, RetryAfter: startingPause}
 	for {
 		now := c.handler.parts.Timer.Now()
-		choice := c.handler.parts.Fleet.Pick(c.service, c.handler.sizes.of(c.route.Name()), now, c.tried)
+		choice := c.handler.parts.Fleet.Pick(c.service, int(c.handler.bytes.of(c.route.Name())), now, c.tried)
 		target := choice.Target()
 		if target == nil && c.mayWait(last) {
 			c.last, c.tried = true, nil
@@ -163,17 +163,18 @@
 func (c *call) attempt(ctx context.Context, target *bffleet.Target) bfhost.Result {
 	target.Begin()
 	defer target.End()
+	began := c.handler.parts.Timer.Now()
 	var end bfhost.Result
 	if target.Member().Inbound == c.handler.parts.Inbound {
 		end = c.here(ctx, target)
 	} else {
 		end = c.there(ctx, target)
 	}
-	c.judge(target, end)
+	c.judge(target, end, c.handler.parts.Timer.Now().Sub(began))
 	return end
 }
 
-func (c *call) judge(target *bffleet.Target, end bfhost.Result) {
+func (c *call) judge(target *bffleet.Target, end bfhost.Result, took time.Duration) {
 	switch end := end.(type) {
 	case bfhost.Refused:
 		if end.Reason != bfhost.Full {
@@ -184,6 +185,10 @@
 		target.Judge(true)
 	case bfhost.Answered:
 		target.Judge(failed(end))
+		if !failed(end) {
+			target.Took(took, time.Duration(c.handler.times.of(c.route.Name())))
+			c.handler.times.learn(c.route.Name(), took.Nanoseconds())
+		}
 	case bfhost.Expired:
 		return
 	}
--- a/lib/bfentry/handler.go
+++ b/lib/bfentry/handler.go
@@ -42,8 +42,10 @@
 type Handler struct {
 	parts   Parts
 	budgets budgets
-	sizes   sizes
-	metrics metrics
+	// bytes and times are each route's mean bytes of a request with its answer, and
+	// mean nanoseconds from a sending to its answer.
+	bytes, times means
+	metrics      metrics
 	// active is how many requests are in progress.
 	active atomic.Int64
 	// leaving has callers told to come back on a new connection, closed that nothing more is taken.
@@ -112,7 +114,7 @@
 	switch end := end.(type) {
 	case bfhost.Answered:
 		defer end.Answer.Close()
-		h.sizes.learn(c.route.Name(), len(c.request.Head)+len(end.Answer.Head))
+		h.bytes.learn(c.route.Name(), int64(len(c.request.Head)+len(end.Answer.Head)))
 		bfheader.Strip(end.Answer.Header)
 		bfhost.Relay(w, r, end.Answer)
 	case bfhost.Refused:
--- a/lib/bffleet/fleet.go
+++ b/lib/bffleet/fleet.go
@@ -113,6 +113,8 @@
 	fullFor = 25 * time.Millisecond
 	// failingCost is the load that a target counts for that fails every request.
 	failingCost = 2.0
+	// slowCost is the load that a target counts for that takes twice the mean.
+	slowCost = 0.3
 	// jitter keeps nodes that were told the same loads from choosing the same target.
 	jitter = 0.1
 	// probeInterval is how often a target of which nothing was heard is chosen
@@ -163,7 +165,7 @@
 func (t *Target) cost(domain string, bytes int, now time.Time) (cost float64, full bool) {
 	load := t.load(now)
 	full = load > 1
-	cost = load + jitter*rand.Float64() + failingCost*float64(t.failing.Load())/whole
+	cost = load + jitter*rand.Float64() + failingCost*float64(t.failing.Load())/whole + slowCost*t.slow()
 	if full {
 		cost += overfull
 	}
--- a/lib/bffleet/target.go
+++ b/lib/bffleet/target.go
@@ -18,6 +18,8 @@
 	away atomic.Pointer[absence]
 	// failing is the share of recent answers that were failures, in 1/65536.
 	failing atomic.Uint32
+	// slowness is how long the target takes, in 1/65536 of the mean of its service.
+	slowness atomic.Uint32
 	// probed is when the target was last chosen for want of news, in nanoseconds since 1970.
 	probed atomic.Int64
 }
@@ -100,6 +102,32 @@
 	}
 }
 
+// Took counts an answer that came after d, where the mean of all targets is usual.
+func (t *Target) Took(d, usual time.Duration) {
+	if usual <= 0 {
+		return
+	}
+	ratio := min(float64(d)/float64(usual), maxSlowness)
+	before := t.slowness.Load()
+	if before == 0 {
+		t.slowness.CompareAndSwap(0, whole)
+		return
+	}
+	t.slowness.CompareAndSwap(before, uint32(float64(before)+(ratio*whole-float64(before))/failureWeight))
+}
+
+// maxSlowness bounds what one answer counts: running times have a long tail.
+const maxSlowness = 4
+
+// slow is how much longer than the mean the target takes, below 0 for a fast one.
+func (t *Target) slow() float64 {
+	ratio := t.slowness.Load()
+	if ratio == 0 {
+		return 0
+	}
+	return float64(ratio)/whole - 1
+}
+
 // forgetting is how fast a told load loses its weight.
 const forgetting = 500 * time.Millisecond
 
