Slow targets weigh by the part of the objective that a request takes

Change: what was a fixed cost of slowness is now the part of its objective that a request of the route is expected to take there, so that requests with time to spare go to the slow targets.

--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -43,7 +43,7 @@
 	var last bfhost.Result = bfhost.Refused{Reason: bfhost.NoTarget, RetryAfter: startingPause}
 	for {
 		now := c.handler.parts.Timer.Now()
-		choice := c.handler.parts.Fleet.Pick(c.service, int(c.handler.bytes.of(c.route.Name())), now, c.tried)
+		choice := c.handler.parts.Fleet.Pick(c.demand(), now, c.tried)
 		target := choice.Target()
 		if target == nil && c.mayWait(last) {
 			c.last, c.tried = true, nil
@@ -90,6 +90,14 @@
 	}
 }
 
+func (c *call) demand() bffleet.Demand {
+	name := c.route.Name()
+	return bffleet.Demand{
+		Service: c.service, Bytes: int(c.handler.bytes.of(name)),
+		Haste: float64(c.handler.times.of(name)) / float64(max(c.route.Objective(), 1)),
+	}
+}
+
 // kept holds on to the newest failure that a target answered with.
 func (c *call) kept(before bfhost.Result, end bfhost.Answered) bfhost.Result {
 	if held, ok := before.(bfhost.Answered); ok {
--- a/lib/bffleet/fleet.go
+++ b/lib/bffleet/fleet.go
@@ -113,8 +113,10 @@
 	fullFor = 25 * time.Millisecond
 	// failingCost is the load that a target counts for that fails every request.
 	failingCost = 2.0
-	// slowCost is the load that a target counts for that takes twice the mean.
-	slowCost = 0.3
+	// lateCost is the load that a target counts for where a request is expected to
+	// take its whole objective. Targets of one service differ in speed by more than
+	// twice: requests with much time to spare go to the slow ones.
+	lateCost = 1.0
 	// jitter keeps nodes that were told the same loads from choosing the same target.
 	jitter = 0.1
 	// probeInterval is how often a target of which nothing was heard is chosen
@@ -135,16 +137,26 @@
 // was left to choose has a free one.
 func (c Choice) Full() bool { return c.full }
 
-// Pick chooses the target of a service for a request that moves a number of
-// bytes with its answer.
-func (f *Fleet) Pick(service string, bytes int, now time.Time, tried []*Target) Choice {
+// Demand is what is known of a request that a target is chosen for.
+type Demand struct {
+	// Service is the one that the request goes to.
+	Service string
+	// Bytes is how many the request moves with its answer.
+	Bytes int
+	// Haste is the part of its objective that a request of its route takes at a
+	// target of mean speed.
+	Haste float64
+}
+
+// Pick chooses the target of the next sending among those that were not tried.
+func (f *Fleet) Pick(demand Demand, now time.Time, tried []*Target) Choice {
 	var best Choice
 	bestCost := 0.0
-	for _, t := range f.view.Load().services[service] {
+	for _, t := range f.view.Load().services[demand.Service] {
 		if t.aside(now) || slices.Contains(tried, t) || t.surelyFull(f.domain, now) {
 			continue
 		}
-		cost, full := t.cost(f.domain, bytes, now)
+		cost, full := t.cost(f.domain, demand, now)
 		if best.target == nil || cost < bestCost {
 			best, bestCost = Choice{t, full}, cost
 		}
@@ -162,16 +174,16 @@
 	return t.member.Domain != domain && told != nil && told.used >= told.slots && now.Sub(told.when) < fullFor
 }
 
-func (t *Target) cost(domain string, bytes int, now time.Time) (cost float64, full bool) {
+func (t *Target) cost(domain string, demand Demand, now time.Time) (cost float64, full bool) {
 	load := t.load(now)
 	full = load > 1
-	cost = load + jitter*rand.Float64() + failingCost*float64(t.failing.Load())/whole + slowCost*t.slow()
+	cost = load + jitter*rand.Float64() + failingCost*float64(t.failing.Load())/whole + lateCost*demand.Haste*t.slow()
 	if full {
 		cost += overfull
 	}
 	stale := now.UnixNano()-t.probed.Load() > int64(probeInterval)
 	if t.member.Domain != domain && !stale {
-		cost += otherDomain + float64(bytes)/bytesOfLoad
+		cost += otherDomain + float64(demand.Bytes)/bytesOfLoad
 	}
 	return cost, full
 }
--- a/lib/bffleet/fleet_test.go
+++ b/lib/bffleet/fleet_test.go
@@ -15,7 +15,7 @@
 func picks(f *Fleet, now time.Time, count int) map[string]int {
 	got := map[string]int{}
 	for range count {
-		if t := f.Pick("portal", 0, now, nil).Target(); t != nil {
+		if t := f.Pick(Demand{Service: "portal"}, now, nil).Target(); t != nil {
 			got[t.Member().Inbound]++
 		}
 	}
@@ -55,18 +55,18 @@
 	is := is.New(t)
 	f := New("nord")
 	f.Replace([]Member{member(1, "nord")})
-	target := f.Pick("portal", 0, start, nil).Target()
+	target := f.Pick(Demand{Service: "portal"}, start, nil).Target()
 	now := start
 	for _, length := range []time.Duration{100, 200, 400, 800, 1500, 1500} {
 		target.SetAside(now)
 		target.SetAside(now) // a second refusal in the same absence does not lengthen it
-		is.True(f.Pick("portal", 0, now.Add(length*time.Millisecond-1), nil).Target() == nil)
+		is.True(f.Pick(Demand{Service: "portal"}, now.Add(length*time.Millisecond-1), nil).Target() == nil)
 		now = now.Add(length * time.Millisecond)
-		is.True(f.Pick("portal", 0, now, nil).Target() != nil)
+		is.True(f.Pick(Demand{Service: "portal"}, now, nil).Target() != nil)
 	}
 	target.SetAside(now)
 	target.Present()
-	is.True(f.Pick("portal", 0, now, nil).Target() != nil)
+	is.True(f.Pick(Demand{Service: "portal"}, now, nil).Target() != nil)
 }
 
 func TestFailingTargetIsChosenLess(t *testing.T) {
--- a/lib/bffleet/target.go
+++ b/lib/bffleet/target.go
@@ -119,13 +119,13 @@
 // maxSlowness bounds what one answer counts: running times have a long tail.
 const maxSlowness = 4
 
-// slow is how much longer than the mean the target takes, below 0 for a fast one.
+// slow is the target's time over the mean of its service.
 func (t *Target) slow() float64 {
 	ratio := t.slowness.Load()
 	if ratio == 0 {
-		return 0
+		return 1
 	}
-	return float64(ratio)/whole - 1
+	return float64(ratio) / whole
 }
 
 // forgetting is how fast a told load loses its weight.
