Who has come back once is told to come again when a burst may be over

Change: a caller whose time left shows that it has come back is told 0.2 to 0.33 of the time it has left.

--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -22,6 +22,10 @@
 	request  *bfexchange.Request
 	arrived  time.Time
 	deadline time.Time
+	// callerDeadline is until when the caller waits, over all its attempts.
+	callerDeadline time.Time
+	// used is the time that the caller has spent on earlier attempts.
+	used time.Duration
 	// parent is the request that the target beside this node makes this one for, nil where it makes none.
 	parent *bfhost.Parent
 	// tried are the targets that were asked, sent how often one was reached.
@@ -132,7 +136,7 @@
 // settle is the end of a request that no target is left for.
 func (c *call) settle(last bfhost.Result) bfhost.Result {
 	if refused, ok := last.(bfhost.Refused); ok {
-		refused.RetryAfter = max(comeBack(c.route), refused.RetryAfter)
+		refused.RetryAfter = max(c.comeBack(), refused.RetryAfter)
 		return refused
 	}
 	return last
@@ -144,10 +148,25 @@
 	// spread so that those refused together do not come back together.
 	comeBackShare  = 0.15
 	comeBackSpread = 0.25
+	// returnedShare is the part of its objective after which a request counts as
+	// one that has come back; less is the way from the caller.
+	returnedShare = 0.1
+	// lateShare and lateSpread place it within the time that is left, for a request
+	// that has come back already. Where it would be refused a third time at once, it
+	// is served late once the burst has passed; callers wait for a third of what they
+	// have left at most.
+	lateShare  = 0.2
+	lateSpread = 0.13
 )
 
-func comeBack(route *bftraffic.Route) time.Duration {
-	return time.Duration(float64(route.Objective()) * (comeBackShare + comeBackSpread*rand.Float64()))
+// comeBack is when a refused caller is told to come back.
+func (c *call) comeBack() time.Duration {
+	objective := c.route.Objective()
+	if float64(c.used) < returnedShare*float64(objective) {
+		return time.Duration(float64(objective) * (comeBackShare + comeBackSpread*rand.Float64()))
+	}
+	left := c.callerDeadline.Sub(c.handler.parts.Timer.Now())
+	return time.Duration(float64(left) * (lateShare + lateSpread*rand.Float64()))
 }
 
 func failed(end bfhost.Answered) bool { return end.Answer.Status >= http.StatusInternalServerError }
--- a/lib/bfentry/handler.go
+++ b/lib/bfentry/handler.go
@@ -45,7 +45,10 @@
 	// bytes and times are each route's mean bytes of a request with its answer, and
 	// mean nanoseconds from a sending to its answer.
 	bytes, times means
-	metrics      metrics
+	// longest is the longest time that callers of each route allow. Who allows
+	// less has come back: callers count the time from their first attempt.
+	longest maxima
+	metrics metrics
 	// active is how many requests are in progress.
 	active atomic.Int64
 	// leaving has callers told to come back on a new connection, closed that nothing more is taken.
@@ -122,7 +125,7 @@
 		refuse(w, end.RetryAfter)
 	case bfhost.Shed:
 		h.report(bflog.RequestRefused, c, slog.String("reason", "shed by the target"))
-		refuse(w, comeBack(c.route))
+		refuse(w, c.comeBack())
 	case bfhost.Lost:
 		h.report(bflog.RequestLost, c, slog.String("reason", end.Reason))
 		w.WriteHeader(http.StatusBadGateway)
@@ -154,11 +157,14 @@
 func (h *Handler) newCall(r *http.Request, route *bftraffic.Route, parent *bfhost.Parent, now time.Time) (*call, error) {
 	c := &call{
 		handler: h, caller: r.Context(), route: route, service: route.Destination(), arrived: now,
-		deadline: now.Add(route.Timeout()), parent: parent,
+		deadline: now.Add(route.Timeout()), callerDeadline: now.Add(route.Timeout()), parent: parent,
 	}
 	if left, err := strconv.ParseInt(r.Header.Get(h.parts.Names.Deadline), 10, 64); err == nil && left > 0 {
-		if asked := now.Add(time.Duration(left) * time.Millisecond); asked.Before(c.deadline) {
-			c.deadline = asked
+		asked := time.Duration(left) * time.Millisecond
+		c.used = h.longest.of(route.Name(), asked) - asked
+		c.callerDeadline = now.Add(asked)
+		if c.callerDeadline.Before(c.deadline) {
+			c.deadline = c.callerDeadline
 		}
 	}
 	request, err := bfhost.ReadRequest(r, h.parts.Names.RequestID)
