--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -65,6 +65,11 @@
 	// nodeIdle is how long one to another node is kept; it is below the time
 	// after which bfserver closes it.
 	nodeIdle = 30 * time.Second
+	// gatherVersions and gatherMembers are the pauses after news of a version and
+	// of members. A version is due everywhere within two seconds; a new member is due
+	// its first work within four, and of one that leaves its refusals tell.
+	gatherVersions = 450 * time.Millisecond
+	gatherMembers  = time.Second
 	// closeTimeout is how long the ports may take to close after the drain.
 	closeTimeout = 100 * time.Millisecond
 	// sweepInterval is how often unused connections are closed.
@@ -120,13 +125,13 @@
 		logger: n.logger, traffic: n.traffic, fleet: n.fleet, presence: n.presence, self: n.common.Inbound,
 		healthy: func() bool { return n.config.Healthy() && n.members.Healthy() },
 	}
-	follow := func(table string, apply func(bffollow.Batch)) *bffollow.Follower {
+	follow := func(table string, gather time.Duration, apply func(bffollow.Batch)) *bffollow.Follower {
 		return bffollow.New(bffollow.Parts{
-			Table: table, Rows: store, Apply: apply, Timer: n.timer, Logger: n.logger, Metrics: n.metrics,
+			Table: table, Rows: store, Apply: apply, Gather: gather, Timer: n.timer, Logger: n.logger, Metrics: n.metrics,
 		})
 	}
-	n.config = follow(bfdialect.ConfigurationTable, n.state.applyConfiguration)
-	n.members = follow(membersTable, n.state.applyMembers)
+	n.config = follow(bfdialect.ConfigurationTable, gatherVersions, n.state.applyConfiguration)
+	n.members = follow(membersTable, gatherMembers, n.state.applyMembers)
 }
 
 func (n *node) talkToNodes() {
--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -202,16 +202,17 @@
 }
 
 func (c *call) judge(target *bffleet.Target, end bfhost.Result, took time.Duration) {
+	now := c.handler.parts.Timer.Now()
 	switch end := end.(type) {
 	case bfhost.Refused:
 		if end.Reason != bfhost.Full {
-			target.SetAside(c.handler.parts.Timer.Now())
+			target.SetAside(now)
 			return
 		}
 	case bfhost.Shed, bfhost.Lost:
-		target.Judge(true)
+		target.Judge(true, now)
 	case bfhost.Answered:
-		target.Judge(failed(end))
+		target.Judge(failed(end), now)
 		if !failed(end) {
 			target.Took(took, time.Duration(c.handler.times.of(c.route.Name())))
 			c.handler.times.learn(c.route.Name(), took.Nanoseconds())
--- a/lib/bffleet/fleet.go
+++ b/lib/bffleet/fleet.go
@@ -119,8 +119,9 @@
 	lateCost = 1.0
 	// jitter keeps nodes that were told the same loads from choosing the same target.
 	jitter = 0.1
-	// probeInterval is how often a target of which nothing was heard is chosen
-	// all the same: a new one in another domain would else get no work.
+	// probeInterval is how often a target of which nothing was ever heard is chosen
+	// all the same: a new one in another domain would else get no work. What was
+	// heard of the others is not refreshed by requests that the own domain has room for.
 	probeInterval = time.Second
 )
 
@@ -177,12 +178,12 @@
 func (t *Target) cost(domain string, demand Demand, now time.Time) (cost float64, full bool) {
 	load := t.load(now)
 	full = load > 1
-	cost = load + jitter*rand.Float64() + failingCost*float64(t.failing.Load())/whole + lateCost*demand.Haste*t.slow()
+	cost = load + jitter*rand.Float64() + failingCost*t.failure(now) + lateCost*demand.Haste*t.slow()
 	if full {
 		cost += overfull
 	}
-	stale := now.UnixNano()-t.probed.Load() > int64(probeInterval)
-	if t.member.Domain != domain && !stale {
+	unknown := t.told.Load() == nil && now.UnixNano()-t.probed.Load() > int64(probeInterval)
+	if t.member.Domain != domain && !unknown {
 		cost += otherDomain + float64(demand.Bytes)/bytesOfLoad
 	}
 	return cost, full
--- a/lib/bffleet/target.go
+++ b/lib/bffleet/target.go
@@ -18,6 +18,8 @@
 	away atomic.Pointer[absence]
 	// failing is the share of recent answers that were failures, in 1/65536.
 	failing atomic.Uint32
+	// judged is when the last answer was counted, in nanoseconds since 1970.
+	judged atomic.Int64
 	// slowness is how long the target takes, in 1/65536 of the mean of its service.
 	slowness atomic.Uint32
 	// probed is when the target was last chosen for want of news, in nanoseconds since 1970.
@@ -91,7 +93,8 @@
 const whole = 1 << 16
 
 // Judge counts an answer as a success or a failure of the target's own.
-func (t *Target) Judge(failed bool) {
+func (t *Target) Judge(failed bool, now time.Time) {
+	t.judged.Store(now.UnixNano())
 	before := t.failing.Load()
 	after := before - before/failureWeight
 	if failed {
@@ -102,6 +105,16 @@
 	}
 }
 
+// pardon is how fast failures lose their weight while no answer comes. A target
+// that is passed over for its failures would else never show that it works again.
+const pardon = 3 * time.Second
+
+// failure is the share of failures that the target is believed to answer with.
+func (t *Target) failure(now time.Time) float64 {
+	age := now.UnixNano() - t.judged.Load()
+	return float64(t.failing.Load()) / whole * math.Exp(-float64(age)/float64(pardon))
+}
+
 // Took counts an answer that came after d, where the mean of all targets is usual.
 func (t *Target) Took(d, usual time.Duration) {
 	if usual <= 0 {
--- a/lib/bffollow/follow.go
+++ b/lib/bffollow/follow.go
@@ -25,6 +25,7 @@
 	table   string
 	rows    bfstore.Rows
 	apply   func(Batch)
+	gather  time.Duration
 	timer   *bftimer.Service
 	logger  *bflog.Logger
 	calls   *bfmetric.Counter
@@ -35,9 +36,12 @@
 
 // Parts is what a Follower works with.
 type Parts struct {
-	Table   string
-	Rows    bfstore.Rows
-	Apply   func(Batch)
+	Table string
+	Rows  bfstore.Rows
+	Apply func(Batch)
+	// Gather is the pause after news, in which further changes come together: a
+	// change a fifth of a second would else cost a call each.
+	Gather  time.Duration
 	Timer   *bftimer.Service
 	Logger  *bflog.Logger
 	Metrics *bfmetric.Registry
@@ -46,7 +50,7 @@
 // New makes a follower; Run follows.
 func New(parts Parts) *Follower {
 	return &Follower{
-		table: parts.Table, rows: parts.Rows, apply: parts.Apply, timer: parts.Timer, logger: parts.Logger,
+		table: parts.Table, rows: parts.Rows, apply: parts.Apply, gather: parts.Gather, timer: parts.Timer, logger: parts.Logger,
 		calls: parts.Metrics.Counter("store_reads_" + parts.Table),
 	}
 }
@@ -55,13 +59,10 @@
 func (f *Follower) Healthy() bool { return f.healthy.Load() }
 
 const (
-	// waitForChange is how long the store holds a call without news. A call that
-	// the store lost without a word is noticed that much later, so it is short
-	// against the seconds within which a version must be in force; each costs a call.
-	waitForChange = 8 * time.Second
-	// gather is the pause after news, in which further changes come together: a
-	// change a fifth of a second would else cost a call each.
-	gather = 300 * time.Millisecond
+	// waitForChange is how long the store holds a call without news; each costs a
+	// call. A connection that went silent is found by its probes long before, and
+	// one that the store forgot about by what other nodes know.
+	waitForChange = 15 * time.Second
 	// firstPause and lastPause bound the pause after a failed call: refused calls
 	// are paid for too, and a store that returns is to be noticed in a second.
 	firstPause = 150 * time.Millisecond
@@ -88,7 +89,7 @@
 			continue
 		}
 		pause = firstPause
-		if news && f.timer.Wait(ctx, gather) != nil {
+		if news && f.timer.Wait(ctx, f.gather) != nil {
 			return nil
 		}
 	}
--- a/lib/bfnews/news.go
+++ b/lib/bfnews/news.go
@@ -44,14 +44,18 @@
 type question struct {
 	Version  bftraffic.Version `json:"version"`
 	Revision uint64            `json:"revision"`
+	// Send asks for what is newer, and not merely whether something is.
+	Send bool `json:"send,omitempty"`
 	// Peer is where the asking node takes calls.
 	Peer string `json:"peer"`
 }
 
-// reply brings what is newer than the question's, in CBOR.
+// reply tells what the answering node holds, and brings in CBOR what was asked for.
 type reply struct {
-	Spec   []byte `json:"spec,omitempty"`
-	Roster []byte `json:"roster,omitempty"`
+	Version  bftraffic.Version `json:"version"`
+	Revision uint64            `json:"revision"`
+	Spec     []byte            `json:"spec,omitempty"`
+	Roster   []byte            `json:"roster,omitempty"`
 }
 
 // Exchange asks other nodes for news and answers them.
@@ -87,6 +91,10 @@
 	// callTimeout bounds one question; a member that does not answer in it is
 	// asked again by chance.
 	callTimeout = time.Second
+	// storeLead is how long a node that the store answers waits for what another
+	// one has already: mostly the store brings it in that time, and a configuration
+	// has tens of kilobytes.
+	storeLead = time.Second
 )
 
 // Run asks until ctx ends.
@@ -121,18 +129,32 @@
 
 // ask asks one node and takes what it brings.
 func (e *Exchange) ask(ctx context.Context, peer string) {
+	send := !e.state.Current()
+	told, ok := e.put(ctx, peer, send)
+	if !ok || send || !e.behind(told.Version, told.Revision) {
+		return
+	}
+	if e.timer.Wait(ctx, storeLead) == nil && e.behind(told.Version, told.Revision) {
+		e.put(ctx, peer, true)
+	}
+}
+
+// put puts one question; ok is false where no answer came, and another node is
+// asked next time.
+func (e *Exchange) put(ctx context.Context, peer string, send bool) (told reply, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var brought reply
-	if err := e.calls.Call(ctx, peer, Method, e.question(), &brought); err != nil {
-		// Another one is asked next time.
-		return
+	asked := question{Version: e.state.Version(), Revision: e.state.Revision(), Send: send, Peer: e.self}
+	if err := e.calls.Call(ctx, peer, Method, asked, &told); err != nil {
+		return reply{}, false
 	}
-	e.take(brought)
+	e.take(told)
+	return told, true
 }
 
-func (e *Exchange) question() question {
-	return question{Version: e.state.Version(), Revision: e.state.Revision(), Peer: e.self}
+// behind reports whether another node holds something newer.
+func (e *Exchange) behind(version bftraffic.Version, revision uint64) bool {
+	return version > e.state.Version() || revision > e.state.Revision()
 }
 
 func (e *Exchange) take(brought reply) {
@@ -153,8 +175,7 @@
 	if err := json.Unmarshal(params, &asked); err != nil {
 		return nil, err
 	}
-	newer := asked.Version > e.state.Version() || asked.Revision > e.state.Revision()
-	if newer && !e.state.Current() {
+	if e.behind(asked.Version, asked.Revision) && !e.state.Current() {
 		e.spawn("ask back", func(ctx context.Context) error {
 			e.ask(ctx, asked.Peer)
 			return nil
@@ -164,7 +185,10 @@
 }
 
 func (e *Exchange) reply(asked question) (reply, error) {
-	var r reply
+	r := reply{Version: e.state.Version(), Revision: e.state.Revision()}
+	if !asked.Send {
+		return r, nil
+	}
 	var err error
 	if spec, ok := e.state.Spec(); ok && spec.Version > asked.Version {
 		if r.Spec, err = bfcodec.Marshal(spec); err != nil {
