Slow links: long answers are paced, stay at home, and are handed on early

Downloads written as fast as their connections took them filled the links' queues, nested calls (43 ms at the target) took 222 ms between nodes and their parents failed. Late answers are logged with where their time went, and why a target is passed over.

--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -43,6 +43,7 @@
 	traffic  *bftraffic.Holder
 	host     *bfhost.Host
 	entry    *bfentry.Handler
+	pacer    *bfhost.Pacer
 	presence *bfpresence.Presence
 	state    *state
 	config   *bffollow.Follower
@@ -96,10 +97,11 @@
 		metrics: bfmetric.New(),
 		group:   bfgroup.New(context.Background()),
 		timer:   bftimer.New(uint64(time.Now().UnixNano())),
-		fleet:   bffleet.New(common.FailureDomain),
+		fleet:   bffleet.New(bffleet.Place{Inbound: common.Inbound, Domain: common.FailureDomain, LinkBytes: settings.linkBytes()}),
 		traffic: bftraffic.NewHolder(nil),
 	}
 	n.metrics.Publish("node")
+	n.pacer = bfhost.NewPacer(n.timer, settings.LinkMbps)
 	names := bfdialect.Headers()
 	n.targets = bfexchange.New(bfexchange.Options{IDHeader: names.RequestID, DialTimeout: dialTimeout, IdleUnstated: targetIdle})
 	n.nodes = bfexchange.New(bfexchange.Options{DialTimeout: dialTimeout, IdleUnstated: nodeIdle})
@@ -108,7 +110,7 @@
 	})
 	n.entry = bfentry.New(bfentry.Parts{
 		Service: common.Service, Inbound: common.Inbound, Names: names,
-		Traffic: n.traffic, Fleet: n.fleet, Host: n.host, Client: n.nodes, Terms: settings.Repeats.terms(),
+		Traffic: n.traffic, Fleet: n.fleet, Host: n.host, Client: n.nodes, Pacer: n.pacer, Terms: settings.Repeats.terms(),
 		Timer: n.timer, Logger: logger, Metrics: n.metrics,
 	})
 	n.followStore(bfdialect.NewStore(common.PlatformAddress))
@@ -177,7 +179,7 @@
 		handler       http.Handler
 	}{
 		{"caller", n.common.Caller, n.entry},
-		{"inbound", n.common.Inbound, bfhost.NewInbound(n.host)},
+		{"inbound", n.common.Inbound, bfhost.NewInbound(n.host, n.pacer)},
 		{"target", n.common.Target, bfdialect.Reports{Heard: n.host.Heard, Left: n.host.Left}},
 		{"operator", n.common.Operator, metrics},
 		{"ready", n.settings.Ready, ready},
@@ -188,6 +190,7 @@
 		if err != nil {
 			return nil, err
 		}
+		server.SendBuffer(n.settings.sendBuffer())
 		servers = append(servers, server)
 	}
 	var err error
--- a/bfnode/internal/bfmesh/settings.go
+++ b/bfnode/internal/bfmesh/settings.go
@@ -9,9 +9,10 @@
 
 // Mesh is the part of a node's settings that only such a node has.
 type Mesh struct {
-	Ready   string              `json:"ready" jsonschema:"minLength=1,description=Port on which the platform asks whether the node takes callers."`
-	Grace   bfsettings.Duration `json:"grace" jsonschema:"description=Time from SIGTERM to SIGKILL."`
-	Repeats Repeats             `json:"repeats" jsonschema:"description=Bound of the repeats that all nodes together send to a service."`
+	Ready    string              `json:"ready" jsonschema:"minLength=1,description=Port on which the platform asks whether the node takes callers."`
+	Grace    bfsettings.Duration `json:"grace" jsonschema:"description=Time from SIGTERM to SIGKILL."`
+	LinkMbps float64             `json:"linkMbps" jsonschema:"exclusiveMinimum=0,maximum=1000000,description=Bandwidth of the machine's link in Mbit/s."`
+	Repeats  Repeats             `json:"repeats" jsonschema:"description=Bound of the repeats that all nodes together send to a service."`
 }
 
 // Repeats bound what all nodes together send again to one service.
@@ -21,6 +22,28 @@
 	Window bfsettings.Duration `json:"window" jsonschema:"description=Span in which both are counted."`
 }
 
+const (
+	// sendQueue is how long one connection's bytes may take to leave the machine:
+	// a short answer behind those of three downloads is 60 ms late.
+	sendQueue = 20 * time.Millisecond
+	// leastBuffer and mostBuffer bound what follows from it: below, the way there
+	// and back to another region would not be filled, and above, the system's own
+	// buffers are as good.
+	leastBuffer = 8 << 10
+	mostBuffer  = 1 << 20
+)
+
+// linkBytes is how many bytes the link moves in a second.
+func (m Mesh) linkBytes() float64 {
+	const bytesOfMbit = 1e6 / 8
+	return m.LinkMbps * bytesOfMbit
+}
+
+// sendBuffer is the bytes that may wait for one connection's peer.
+func (m Mesh) sendBuffer() int {
+	return int(min(max(m.linkBytes()*sendQueue.Seconds(), leastBuffer), mostBuffer))
+}
+
 func (r Repeats) terms() bfretry.Terms {
 	return bfretry.Terms{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window.Std()}
 }
@@ -34,7 +57,7 @@
 // Example shows every field.
 func Example() Mesh {
 	return Mesh{
-		Ready: "127.0.0.1:7805", Grace: bfsettings.Duration(6 * time.Second),
+		Ready: "127.0.0.1:7805", Grace: bfsettings.Duration(6 * time.Second), LinkMbps: 1000,
 		Repeats: Repeats{Ratio: 0.2, Slack: 64, Window: bfsettings.Duration(10 * time.Second)},
 	}
 }
--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -31,6 +31,8 @@
 	// tried are the targets that were asked, sent how often one was reached.
 	tried []*bffleet.Target
 	sent  int
+	// lastTook is how long the newest sending took.
+	lastTook time.Duration
 	// last says that no other target is asked if this one is full, so that the
 	// request may wait there.
 	last bool
@@ -197,7 +199,8 @@
 	} else {
 		end = c.there(ctx, target)
 	}
-	c.judge(target, end, c.handler.parts.Timer.Now().Sub(began))
+	c.lastTook = c.handler.parts.Timer.Now().Sub(began)
+	c.judge(target, end, c.lastTook)
 	return end
 }
 
@@ -206,7 +209,9 @@
 	switch end := end.(type) {
 	case bfhost.Refused:
 		if end.Reason != bfhost.Full {
-			target.SetAside(now)
+			if length := target.SetAside(now); length > 0 {
+				c.handler.reportAside(target, end, length)
+			}
 			return
 		}
 	case bfhost.Shed, bfhost.Lost:
--- a/lib/bfentry/entry_test.go
+++ b/lib/bfentry/entry_test.go
@@ -58,7 +58,7 @@
 	group := bfgroup.New(context.Background())
 	group.Go("timer", timer.Run)
 	t.Cleanup(group.Cancel)
-	m := &mesh{I: is.New(t), fleet: bffleet.New("nord")}
+	m := &mesh{I: is.New(t), fleet: bffleet.New(bffleet.Place{Domain: "nord"})}
 	var members []bffleet.Member
 	for _, handler := range serve {
 		n := newTestNode(t, timer, handler)
@@ -107,7 +107,7 @@
 		Incarnation: "a", Sequence: 1, Service: "portal", State: bfhost.Ready, Slots: slots,
 		Address: strings.TrimPrefix(target.URL, "http://"),
 	})
-	n.inbound = httptest.NewServer(bfhost.NewInbound(n.host))
+	n.inbound = httptest.NewServer(bfhost.NewInbound(n.host, nil))
 	t.Cleanup(func() {
 		target.CloseClientConnections()
 		n.inbound.CloseClientConnections()
--- a/lib/bfentry/handler.go
+++ b/lib/bfentry/handler.go
@@ -31,7 +31,9 @@
 	Fleet   *bffleet.Fleet
 	Host    *bfhost.Host
 	// Client sends requests to other nodes.
-	Client  *bfexchange.Client
+	Client *bfexchange.Client
+	// Pacer is shared by all ports of the node, nil where nothing is paced.
+	Pacer   *bfhost.Pacer
 	Terms   bfretry.Terms
 	Timer   *bftimer.Service
 	Logger  *bflog.Logger
@@ -117,9 +119,10 @@
 	switch end := end.(type) {
 	case bfhost.Answered:
 		defer end.Answer.Close()
+		h.reportLate(c, end.Answer)
 		h.bytes.learn(c.route.Name(), int64(len(c.request.Head)+len(end.Answer.Head)))
 		bfheader.Strip(end.Answer.Header)
-		bfhost.Relay(w, r, end.Answer)
+		bfhost.Relay(w, r, end.Answer, h.parts.Pacer)
 	case bfhost.Refused:
 		h.report(bflog.RequestRefused, c, slog.String("reason", string(end.Reason)), slog.Duration("come_back", end.RetryAfter))
 		refuse(w, end.RetryAfter)
@@ -177,6 +180,29 @@
 	return c, nil
 }
 
+func (h *Handler) reportAside(target *bffleet.Target, end bfhost.Refused, length time.Duration) {
+	attributes := []slog.Attr{
+		slog.String("node", target.Member().Inbound), slog.String("service", target.Member().Service),
+		slog.String("reason", string(end.Reason)), slog.Duration("for", length),
+	}
+	if end.Err != nil {
+		attributes = append(attributes, bflog.Err(end.Err))
+	}
+	h.parts.Logger.Emit(bflog.TargetAside, attributes...)
+}
+
+// reportLate logs an answer that missed its objective, with where its time went.
+func (h *Handler) reportLate(c *call, answer *bfhost.Answer) {
+	took := h.parts.Timer.Now().Sub(c.arrived)
+	if took+c.used <= c.route.Objective() {
+		return
+	}
+	h.report(bflog.RequestLate, c, slog.Int("status", answer.Status), slog.Duration("objective", c.route.Objective()),
+		slog.Duration("earlier_attempts", c.used), slog.Duration("last_sending", c.lastTook),
+		slog.Duration("slot_wait", answer.Spent.Wait), slog.Duration("at_target", answer.Spent.Run),
+		slog.String("node", c.tried[len(c.tried)-1].Member().Inbound))
+}
+
 func (h *Handler) report(event bflog.Event, c *call, attributes ...slog.Attr) {
 	h.parts.Logger.Emit(event, append([]slog.Attr{
 		slog.String("request", c.request.ID), slog.String("route", c.route.Name()), slog.String("service", c.service),
--- a/lib/bfentry/remote.go
+++ b/lib/bfentry/remote.go
@@ -25,7 +25,7 @@
 	var notSent *bfexchange.NotSentError
 	switch {
 	case errors.As(err, &notSent) && c.request.Rest == nil:
-		return bfhost.Refused{Reason: bfhost.Unreached}
+		return bfhost.Refused{Reason: bfhost.Unreached, Err: err}
 	case err != nil && !parts.Timer.Now().Before(c.deadline):
 		return bfhost.Expired{Sent: true}
 	case err != nil:
@@ -44,13 +44,15 @@
 		drain(from)
 		return result
 	}
-	answer, err := bfhost.ReadAnswer(from, func() {})
+	spent := bfhost.ReadSpent(from.Header())
+	answer, err := bfhost.ReadAnswer(from, bfhost.HoldAtEntry, func() {})
 	if err != nil {
 		if !now.Before(c.deadline) {
 			return bfhost.Expired{Sent: true}
 		}
 		return bfhost.Lost{Reason: err.Error()}
 	}
+	answer.Spent = spent
 	return bfhost.Answered{Answer: answer}
 }
 
--- a/lib/bffleet/fleet.go
+++ b/lib/bffleet/fleet.go
@@ -11,7 +11,7 @@
 
 // Fleet is the members that a node knows.
 type Fleet struct {
-	domain string
+	place Place
 
 	mu   sync.Mutex
 	view atomic.Pointer[view]
@@ -23,9 +23,19 @@
 	services map[string][]*Target
 }
 
-// New makes the empty fleet of a node in a failure domain.
-func New(domain string) *Fleet {
-	f := &Fleet{domain: domain}
+// Place is where the node that holds a Fleet stands.
+type Place struct {
+	// Inbound is the node's own name among the members.
+	Inbound string
+	// Domain is its failure domain.
+	Domain string
+	// LinkBytes is how many bytes its link moves in a second, 0 for a fast one.
+	LinkBytes float64
+}
+
+// New makes the empty fleet of a node.
+func New(place Place) *Fleet {
+	f := &Fleet{place: place}
 	f.view.Store(&view{})
 	return f
 }
@@ -108,6 +118,10 @@
 	// overfull is added where all slots are believed in use; the next best is
 	// asked first.
 	overfull = 1.0
+	// linkCost is the load that a target beside another node counts for when the
+	// answer takes the node's link a second: downloads of a node with a target of
+	// their own take a slow link once and not twice.
+	linkCost = 10
 	// fullFor is how long a full target in another domain is not asked again;
 	// each of its slots is held about five times as long.
 	fullFor = 25 * time.Millisecond
@@ -154,10 +168,10 @@
 	var best Choice
 	bestCost := 0.0
 	for _, t := range f.view.Load().services[demand.Service] {
-		if t.aside(now) || slices.Contains(tried, t) || t.surelyFull(f.domain, now) {
+		if t.aside(now) || slices.Contains(tried, t) || t.surelyFull(f.place.Domain, now) {
 			continue
 		}
-		cost, full := t.cost(f.domain, demand, now)
+		cost, full := t.cost(f.place, demand, now)
 		if best.target == nil || cost < bestCost {
 			best, bestCost = Choice{t, full}, cost
 		}
@@ -175,7 +189,7 @@
 	return t.member.Domain != domain && told != nil && told.used >= told.slots && now.Sub(told.when) < fullFor
 }
 
-func (t *Target) cost(domain string, demand Demand, now time.Time) (cost float64, full bool) {
+func (t *Target) cost(place Place, demand Demand, now time.Time) (cost float64, full bool) {
 	load := t.load(now)
 	full = load > 1
 	cost = load + jitter*rand.Float64() + failingCost*t.failure(now) + lateCost*demand.Haste*t.slow()
@@ -183,8 +197,11 @@
 		cost += overfull
 	}
 	unknown := t.told.Load() == nil && now.UnixNano()-t.probed.Load() > int64(probeInterval)
-	if t.member.Domain != domain && !unknown {
+	if t.member.Domain != place.Domain && !unknown {
 		cost += otherDomain + float64(demand.Bytes)/bytesOfLoad
 	}
+	if t.member.Inbound != place.Inbound && place.LinkBytes > 0 {
+		cost += linkCost * float64(demand.Bytes) / place.LinkBytes
+	}
 	return cost, full
 }
--- a/lib/bffleet/fleet_test.go
+++ b/lib/bffleet/fleet_test.go
@@ -26,7 +26,7 @@
 
 func TestOwnDomainFirstWhileItHasRoom(t *testing.T) {
 	is := is.New(t)
-	f := New("nord")
+	f := New(Place{Inbound: "10.0.0.1:1", Domain: "nord"})
 	f.Replace([]Member{member(1, "nord"), member(2, "sued")})
 	picks(f, start, 2) // both were chosen once, so neither is chosen for want of news
 	is.Equal(picks(f, start, 20)["10.0.0.1:1"], 20)
@@ -39,7 +39,7 @@
 // soon all the same, or it earns nothing and nobody knows how it fares.
 func TestTargetWithoutNewsIsChosen(t *testing.T) {
 	is := is.New(t)
-	f := New("nord")
+	f := New(Place{Inbound: "10.0.0.1:1", Domain: "nord"})
 	f.Replace([]Member{member(1, "nord")})
 	picks(f, start, 5)
 	f.Change([]Member{member(2, "sued")}, nil)
@@ -56,7 +56,7 @@
 // time, and is chosen again at once when it has taken a request.
 func TestSetAsideGrowsAndEnds(t *testing.T) {
 	is := is.New(t)
-	f := New("nord")
+	f := New(Place{Inbound: "10.0.0.1:1", Domain: "nord"})
 	f.Replace([]Member{member(1, "nord")})
 	target := f.Pick(Demand{Service: "portal"}, start, nil).Target()
 	now := start
@@ -74,7 +74,7 @@
 
 func TestFailingTargetIsChosenLess(t *testing.T) {
 	is := is.New(t)
-	f := New("nord")
+	f := New(Place{Inbound: "10.0.0.1:1", Domain: "nord"})
 	f.Replace([]Member{member(1, "nord"), member(2, "nord")})
 	for range 30 {
 		f.view.Load().members["10.0.0.1:1"].Judge(true, start)
@@ -91,7 +91,7 @@
 // nobody would hear of it, so its failures are forgotten with time.
 func TestFailuresAreForgotten(t *testing.T) {
 	is := is.New(t)
-	f := New("nord")
+	f := New(Place{Inbound: "10.0.0.1:1", Domain: "nord"})
 	f.Replace([]Member{member(1, "nord"), member(2, "nord")})
 	for range 100 {
 		f.view.Load().members["10.0.0.1:1"].Judge(true, start)
@@ -112,7 +112,7 @@
 // A member's row is written anew with other slots; what was known of the others stays.
 func TestUnchangedMembersKeepWhatIsKnown(t *testing.T) {
 	is := is.New(t)
-	f := New("nord")
+	f := New(Place{Inbound: "10.0.0.1:1", Domain: "nord"})
 	f.Replace([]Member{member(1, "nord"), member(2, "nord")})
 	before := f.view.Load().members["10.0.0.1:1"]
 	changed := member(2, "nord")
@@ -131,3 +131,19 @@
 	_, err = DecodeMember([]byte("no"))
 	is.True(err != nil)
 }
+
+// A node's link is slow, and a target of the service stands beside it. A download
+// from another target would take the link twice.
+func TestSlowLinkKeepsDownloadsAtHome(t *testing.T) {
+	is := is.New(t)
+	const megabit = 1e6 / 8
+	f := New(Place{Inbound: "10.0.0.1:1", Domain: "nord", LinkBytes: 5 * megabit})
+	f.Replace([]Member{member(1, "nord"), member(2, "nord")})
+	own := f.view.Load().members["10.0.0.1:1"]
+	other := f.view.Load().members["10.0.0.2:1"]
+	own.Told(8, 10, start)
+	other.Told(0, 10, start)
+	download := Demand{Service: "portal", Bytes: 90_000}
+	is.Equal(f.Pick(download, start, nil).Target(), own)
+	is.Equal(f.Pick(Demand{Service: "portal", Bytes: 500}, start, nil).Target(), other)
+}
--- a/lib/bffleet/target.go
+++ b/lib/bffleet/target.go
@@ -63,16 +63,18 @@
 	lastAbsence = 1500 * time.Millisecond
 )
 
-// SetAside passes the target over for a while, longer each time in a row.
-func (t *Target) SetAside(now time.Time) {
+// SetAside passes the target over for a while, longer each time in a row, and
+// gives how long; 0 means that it is passed over already.
+func (t *Target) SetAside(now time.Time) time.Duration {
 	length := firstAbsence
 	if before := t.away.Load(); before != nil {
 		if now.Before(before.until) {
-			return
+			return 0
 		}
 		length = min(2*before.length, lastAbsence)
 	}
 	t.away.Store(&absence{until: now.Add(length), length: length})
+	return length
 }
 
 // Present ends an absence: the target's node has taken a request.
--- a/lib/bfheader/header.go
+++ b/lib/bfheader/header.go
@@ -37,6 +37,8 @@
 	Policy = "Bilberry-Policy"
 	// Load is the target node's load as of its answer.
 	Load = "Bilberry-Load"
+	// Spent is how the time at the target's node was spent.
+	Spent = "Bilberry-Spent"
 	// Resent marks a copy that a node above sent as a retry.
 	Resent = "Bilberry-Resent"
 	// Refusal is the home's refusal in full.
--- a/lib/bfhost/hop.go
+++ b/lib/bfhost/hop.go
@@ -76,6 +76,22 @@
 	return used, slots, found && errUsed == nil && errSlots == nil
 }
 
+// WriteSpent puts the time spent at a target's node into the header of an answer between nodes.
+func WriteSpent(h http.Header, s Spent) {
+	h[bfheader.Spent] = []string{strconv.FormatInt(s.Wait.Microseconds(), 10) + "/" + strconv.FormatInt(s.Run.Microseconds(), 10)}
+}
+
+// ReadSpent reads what WriteSpent wrote, zero where nothing was.
+func ReadSpent(h http.Header) Spent {
+	before, after, _ := strings.Cut(h.Get(bfheader.Spent), "/")
+	wait, errWait := strconv.ParseInt(before, 10, 64)
+	run, errRun := strconv.ParseInt(after, 10, 64)
+	if errWait != nil || errRun != nil {
+		return Spent{}
+	}
+	return Spent{Wait: time.Duration(wait) * time.Microsecond, Run: time.Duration(run) * time.Microsecond}
+}
+
 // Values of the outcome that a node tells another one beside a status.
 const (
 	outcomeRefused = "refused"
--- a/lib/bfhost/host.go
+++ b/lib/bfhost/host.go
@@ -115,6 +115,7 @@
 	if _, refused := h.usable(job.Policy.Service); refused != nil {
 		return refused
 	}
+	came := h.parts.Timer.Now()
 	slot, err := h.gate.Acquire(ctx, bfslot.Request{
 		Class: job.Policy.Class, Nested: job.Policy.Nested, Rank: job.Policy.Rank, Patience: job.Policy.Patience,
 	})
@@ -132,10 +133,15 @@
 		return refused
 	}
 	h.begin(job)
-	return h.hand(ctx, job, target, func() {
+	handed := h.parts.Timer.Now()
+	end := h.hand(ctx, job, target, func() {
 		h.end(job)
 		slot.Release()
 	})
+	if answered, ok := end.(Answered); ok {
+		answered.Answer.Spent = Spent{Wait: handed.Sub(came), Run: h.parts.Timer.Now().Sub(handed)}
+	}
+	return end
 }
 
 // Parent is a request that the target works on, as seen by its nested calls.
@@ -204,7 +210,7 @@
 			// A part of the body may have been read from the caller.
 			return Lost{Reason: err.Error()}
 		}
-		return Refused{Reason: Unreached}
+		return Refused{Reason: Unreached, Err: err}
 	case err != nil:
 		finish()
 		return h.lost(err, job)
@@ -234,7 +240,7 @@
 		finish()
 		return Shed{Status: status}
 	}
-	answer, err := ReadAnswer(from, finish)
+	answer, err := ReadAnswer(from, HoldAtTarget, finish)
 	if err != nil {
 		return h.lost(err, job)
 	}
--- a/lib/bfhost/host_test.go
+++ b/lib/bfhost/host_test.go
@@ -224,10 +224,10 @@
 			w.Header().Set("Content-Length", "10")
 			_, _ = io.WriteString(w, "half")
 		case "long cut":
-			_, _ = io.WriteString(w, strings.Repeat("x", holdBytes+1))
+			_, _ = io.WriteString(w, strings.Repeat("x", HoldAtTarget+1))
 			panic(http.ErrAbortHandler)
 		case "long":
-			_, _ = io.WriteString(w, strings.Repeat("x", holdBytes+1))
+			_, _ = io.WriteString(w, strings.Repeat("x", HoldAtTarget+1))
 		case "own failure":
 			w.WriteHeader(http.StatusInternalServerError)
 		}
@@ -237,7 +237,7 @@
 	r.Equal(r.run(job("lost")), "lost")
 	r.Equal(r.run(job("cut")), "lost") // nothing of it had gone on
 	r.Equal(r.run(job("long cut")), "cut")
-	r.Equal(len(r.run(job("long"))), len("200 ")+holdBytes+1)
+	r.Equal(len(r.run(job("long"))), len("200 ")+HoldAtTarget+1)
 	r.Equal(r.run(job("own failure")), "500 ")
 	r.Equal(r.host.Running(), int64(0))
 	used, _ := r.host.Load()
@@ -329,7 +329,7 @@
 		_, _ = fmt.Fprintf(w, "%s %s %s", q.Method, q.RequestURI, body)
 	})
 	r.beat("a", 1, Ready)
-	inbound := httptest.NewServer(NewInbound(r.host))
+	inbound := httptest.NewServer(NewInbound(r.host, nil))
 	defer inbound.Close()
 	client := bfexchange.New(bfexchange.Options{DialTimeout: time.Second, IdleUnstated: time.Second})
 	request := &bfexchange.Request{
--- a/lib/bfhost/inbound.go
+++ b/lib/bfhost/inbound.go
@@ -1,6 +1,7 @@
 package bfhost
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -11,10 +12,13 @@
 )
 
 // Inbound serves requests that other nodes send for the target.
-type Inbound struct{ host *Host }
+type Inbound struct {
+	host  *Host
+	pacer *Pacer
+}
 
 // NewInbound makes the handler of the node's inbound port.
-func NewInbound(host *Host) *Inbound { return &Inbound{host} }
+func NewInbound(host *Host, pacer *Pacer) *Inbound { return &Inbound{host, pacer} }
 
 // ServeHTTP takes one request of another node to its end.
 func (i *Inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -36,7 +40,8 @@
 	}
 	defer answered.Answer.Close()
 	bfheader.Strip(answered.Answer.Header)
-	Relay(w, r, answered.Answer)
+	WriteSpent(w.Header(), answered.Answer.Spent)
+	Relay(w, r, answered.Answer, i.pacer)
 }
 
 // read makes the job of a request between nodes.
@@ -72,12 +77,12 @@
 	if r.ContentLength == 0 {
 		return request, nil
 	}
-	head, err := io.ReadAll(io.LimitReader(r.Body, holdBytes))
+	head, err := io.ReadAll(io.LimitReader(r.Body, HoldAtTarget))
 	if err != nil {
 		return nil, err
 	}
 	request.Head = head
-	if len(head) == holdBytes {
+	if len(head) == HoldAtTarget {
 		request.Rest = r.Body
 	}
 	return request, nil
@@ -88,7 +93,7 @@
 
 // Relay writes an answer; one that breaks off ends the connection, so that it
 // does not look whole.
-func Relay(w http.ResponseWriter, r *http.Request, answer *Answer) {
+func Relay(w http.ResponseWriter, r *http.Request, answer *Answer, pacer *Pacer) {
 	header := w.Header()
 	for name, values := range answer.Header {
 		header[name] = values
@@ -101,13 +106,41 @@
 		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
 	w.WriteHeader(answer.Status)
-	if _, err := w.Write(answer.Head); err != nil || answer.Rest == nil {
+	var to io.Writer = writerOnly{w}
+	if pacer.paces(answer.Length) {
+		to = pacedWriter{to, r.Context(), pacer}
+	}
+	if _, err := to.Write(answer.Head); err != nil || answer.Rest == nil {
 		return
 	}
-	if _, err := io.CopyBuffer(writerOnly{w}, answer.Rest, make([]byte, copyBytes)); err != nil {
+	if _, err := io.CopyBuffer(to, answer.Rest, make([]byte, copyBytes)); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
 
 // writerOnly hides the response's other methods, which would read in pieces of their own.
 type writerOnly struct{ io.Writer }
+
+// pacedWriter writes in pieces as a pacer lets them go.
+type pacedWriter struct {
+	to    io.Writer
+	ctx   context.Context
+	pacer *Pacer
+}
+
+// Write writes p piece by piece.
+func (w pacedWriter) Write(p []byte) (int, error) {
+	written := 0
+	for written < len(p) {
+		piece := p[written:min(len(p), written+pacedPiece)]
+		if err := w.pacer.wait(w.ctx, len(piece)); err != nil {
+			return written, err
+		}
+		n, err := w.to.Write(piece)
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
--- a/lib/bfhost/job.go
+++ b/lib/bfhost/job.go
@@ -58,6 +58,8 @@
 type Refused struct {
 	Reason     Reason
 	RetryAfter time.Duration
+	// Err is what kept the request from being sent, nil where a node refused it.
+	Err error
 }
 
 // Answered is the target's answer.
@@ -88,10 +90,20 @@
 	Rest io.Reader
 	// Length of the body in bytes, bfexchange.Chunked where it is not known.
 	Length int64
+	// Spent is how the time at the target's node was spent.
+	Spent Spent
 	// Done is called once by Close.
 	Done func()
 }
 
+// Spent is how a request's time at the node of its target was spent.
+type Spent struct {
+	// Wait is the time for a slot.
+	Wait time.Duration
+	// Run is the time from the hand-over to the end of what was held of the answer.
+	Run time.Duration
+}
+
 // Close ends the answer.
 func (a *Answer) Close() {
 	if a.Done != nil {
@@ -100,15 +112,20 @@
 	}
 }
 
-// holdBytes is how much of an answer is read before any of it goes on. One that
-// breaks off within it can still be told as lost, or be asked for again; the
-// platform's downloads have 90 kB in the mean.
-const holdBytes = 256 << 10
+const (
+	// HoldAtTarget is how much of an answer the target's node reads before any of
+	// it goes on. One that breaks off within it can still be told as lost, or be
+	// asked for again; the platform's downloads have 90 kB in the mean.
+	HoldAtTarget = 256 << 10
+	// HoldAtEntry is the same at the entry. Nodes break off far less than targets,
+	// and on a link of 5 Mbit/s each 64 kB that are held cost 100 ms.
+	HoldAtEntry = 16 << 10
+)
 
-// ReadAnswer reads the beginning of an answer, or all of it.
-func ReadAnswer(from *bfexchange.Answer, done func()) (*Answer, error) {
+// ReadAnswer reads the first hold bytes of an answer, or all of it.
+func ReadAnswer(from *bfexchange.Answer, hold int, done func()) (*Answer, error) {
 	answer := &Answer{Status: from.Status(), Header: from.Header(), Length: from.Length()}
-	head, whole, err := readHead(from)
+	head, whole, err := readHead(from, hold)
 	if err != nil {
 		from.Close()
 		done()
@@ -129,15 +146,15 @@
 	return answer, nil
 }
 
-// readHead reads up to holdBytes; whole says that the body has ended.
-func readHead(from *bfexchange.Answer) (head []byte, whole bool, err error) {
+// readHead reads up to hold bytes; whole says that the body has ended.
+func readHead(from *bfexchange.Answer, hold int) (head []byte, whole bool, err error) {
 	size := int64(512)
 	if from.Length() >= 0 {
 		// One more than the body, so that its end is seen without growing.
-		size = min(from.Length(), holdBytes) + 1
+		size = min(from.Length(), int64(hold)) + 1
 	}
 	head = make([]byte, 0, size)
-	for len(head) < holdBytes {
+	for len(head) < hold {
 		if len(head) == cap(head) {
 			head = append(head, 0)[:len(head)]
 		}
--- a/lib/bflog/events.go
+++ b/lib/bflog/events.go
@@ -63,6 +63,8 @@
 	StoreRegained = declare(2102, slog.LevelInfo, "store answers this node again", "Nothing.")
 	StoreListed   = declare(2103, slog.LevelInfo, "table read whole", "Nothing; it follows a start or history that the store dropped.")
 	FleetChanged  = declare(3101, slog.LevelInfo, "members changed", "Nothing.")
+	RequestLate   = declare(4105, slog.LevelInfo, "answer came after its objective", "last_sending less slot_wait and at_target is the way between the nodes.")
+	TargetAside   = declare(4106, slog.LevelInfo, "target passed over for a while", "The reason is its node's; it is tried again by itself.")
 	TargetChanged = declare(4104, slog.LevelInfo, "belief about the target changed", "Nothing.")
 	Announced     = declare(3102, slog.LevelInfo, "this node's row written or removed", "Nothing.")
 	AnnounceError = declare(3103, slog.LevelWarn, "this node's row could not be written", "It is tried again; others may not know this node until then.")
--- a/lib/bfnews/news_test.go
+++ b/lib/bfnews/news_test.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	state := &holding{current: current, fleet: bffleet.New("nord")}
+	state := &holding{current: current, fleet: bffleet.New(bffleet.Place{Domain: "nord"})}
 	methods := bfpeer.Methods{}
 	calls := bfpeer.NewCalls(methods, bfpeer.NewTraffic(bfmetric.New()), group)
 	address := listener.Addr().String()
@@ -153,7 +153,7 @@
 
 func TestNothingNewCostsNothing(t *testing.T) {
 	is := is.New(t)
-	state := &holding{fleet: bffleet.New("nord")}
+	state := &holding{fleet: bffleet.New(bffleet.Place{Domain: "nord"})}
 	state.TakeSpec(bftraffic.Spec{Version: 7})
 	e := New("a", state, state.fleet, nil, nil, nil)
 	r, err := e.reply(question{Version: 7, Send: true})
--- a/lib/bfserver/server.go
+++ b/lib/bfserver/server.go
@@ -1,6 +1,7 @@
 package bfserver
 
 import (
+	"context"
 	"crypto/tls"
 	"errors"
 	"fmt"
@@ -69,6 +70,20 @@
 	return &Port{Server: server, listener: listener}, nil
 }
 
+// SendBuffer bounds the bytes that wait in the system for each connection's peer.
+//
+// On a slow link a few long answers would else put so many bytes before a short
+// one that it comes too late.
+func (p *Port) SendBuffer(bytes int) {
+	p.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if connection, ok := c.(*net.TCPConn); ok {
+			// A system that does not allow it sends as it would anyway.
+			_ = connection.SetWriteBuffer(bytes)
+		}
+		return ctx
+	}
+}
+
 // AllowHTTP2 lets peers put many requests on one connection without TLS.
 func (p *Port) AllowHTTP2() {
 	p.Protocols = new(http.Protocols)
