--- a/lib/bfhost/pacer.go
+++ b/lib/bfhost/pacer.go
@@ -25,7 +25,7 @@
 
 const (
 	// pacedShare is the part of the link that long answers get.
-	pacedShare = 0.7
+	pacedShare = 0.8
 	// pacedFrom is the length from which an answer is long.
 	pacedFrom = 16 << 10
 	// pacedPiece is the size of the pieces it is written in: 7 ms at 5 Mbit/s.
