Logs never wait for a reader, and are bounded by event

Cause: lines were written under a lock to the pipe itself; a reader that stops would stop every request that logs. The stand-in target keeps writing at once, since its log is a ledger: with queued lines TestEveryAnswerIsTruthfulThroughFaults missed runs of a killed target. TestSignalStopsGracefully now names the two events it wants: the start's line is written beside the program and came behind its first own line once.

--- a/bftarget/internal/bfcommand/command.go
+++ b/bftarget/internal/bfcommand/command.go
@@ -38,6 +38,7 @@
 func Program() bfprogram.Program[Settings] {
 	return bfprogram.Program[Settings]{
 		Name:        "bftarget",
+		Ledger:      true,
 		Description: "Stand-in for a target instance: slots, cold start, shedding, and a ledger of what it ran.",
 		Defaults:    defaults,
 		Example:     example,
--- a/lib/bflog/events.go
+++ b/lib/bflog/events.go
@@ -9,6 +9,7 @@
 	ProcessStopped  = declare(1003, slog.LevelInfo, "process stopped", "Nothing.")
 	ProcessFailed   = declare(1004, slog.LevelError, "process failed", "Read the error; the process exits with code 1.")
 	SettingsRead    = declare(1005, slog.LevelInfo, "settings file read again", "Nothing; ports and names need a restart.")
+	LinesDropped    = declare(1007, slog.LevelWarn, "log lines dropped", "The counters show what happened; of_event is the kind that was cut short.")
 	SettingsRefused = declare(1006, slog.LevelWarn, "settings file is wrong, old settings stay", "Mend the field that the error names and send SIGHUP again.")
 )
 
--- a/lib/bfprogram/program.go
+++ b/lib/bfprogram/program.go
@@ -61,6 +61,9 @@
 	Check func(S) error
 	// Instance names the process in its logs.
 	Instance func(S) string
+	// Ledger has each log line written before the program goes on: for stand-ins
+	// whose log must hold what they did when they are killed.
+	Ledger bool
 	// Build makes the app; it may listen but not serve.
 	Build func(S, *bflog.Logger) (App, error)
 }
@@ -136,7 +139,8 @@
 
 func (p Program[S]) serve(path string, settings S, out io.Writer) int {
 	bfserver.Quiet()
-	logger := bflog.New(out, p.Instance(settings), slog.LevelInfo)
+	logger := p.logger(settings, out)
+	defer logger.Close()
 	// The library listens for signals only once the servers run. One that comes
 	// between would end the process at once and cut the requests in flight.
 	signals := make(chan os.Signal, 1)
@@ -161,6 +165,13 @@
 
 var stopSignals = []os.Signal{syscall.SIGTERM, syscall.SIGINT}
 
+func (p Program[S]) logger(settings S, out io.Writer) *bflog.Logger {
+	if p.Ledger {
+		return bflog.New(out, p.Instance(settings), slog.LevelInfo)
+	}
+	return bflog.NewSpooled(out, p.Instance(settings), slog.LevelInfo)
+}
+
 // reload reads the settings file again and hands it to the app. A file that is
 // wrong changes nothing: what runs goes on by what it was started with.
 func (p Program[S]) reload(path string, app App, logger *bflog.Logger) {
--- a/lib/bfprogram/program_test.go
+++ b/lib/bfprogram/program_test.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -138,17 +140,33 @@
 	lines := bufio.NewScanner(out)
 	awaitLine(t, lines, "running")
 	is.NoErr(cmd.Process.Signal(os.Interrupt))
-	var said, events []string
+	var said []string
+	var events []int
 	for lines.Scan() {
 		if strings.HasPrefix(lines.Text(), "{") {
-			events = append(events, lines.Text())
+			events = append(events, eventOf(t, lines.Text()))
 		} else {
 			said = append(said, lines.Text())
 		}
 	}
 	is.NoErr(cmd.Wait())
 	is.Equal(said, []string{"drained", "stopped"})
-	is.Equal(len(events), 2) // the stop's beginning and end, on standard output like all events
+	// Events are on standard output too, in order; that of the start is written
+	// beside the program and may come behind its first own line.
+	is.Equal(slices.DeleteFunc(events, func(e int) bool { return e == bflog.ProcessStarted.Number() }),
+		[]int{bflog.ProcessStopping.Number(), bflog.ProcessStopped.Number()})
+}
+
+// eventOf is the number of a log line's event.
+func eventOf(t *testing.T, line string) int {
+	t.Helper()
+	var read struct {
+		Event int `json:"event"`
+	}
+	if err := json.Unmarshal([]byte(line), &read); err != nil {
+		t.Fatal(err)
+	}
+	return read.Event
 }
 
 // awaitLine reads lines until one is text.
