--- a/bfplatform/internal/bfcommand/command.go
+++ b/bfplatform/internal/bfcommand/command.go
@@ -18,6 +18,7 @@
 	"bilberryflow.org/lib/bfprogram"
 	"bilberryflow.org/lib/bfserver"
 	"bilberryflow.org/lib/bfstore"
+	"bilberryflow.org/platform/bfdialect"
 )
 
 // Settings of the stand-in platform.
@@ -53,7 +54,15 @@
 	faults := bffault.New(settings.Seed)
 	service := bfservice.New(bfstore.NewMemory(), faults, group, settings.ReadsPerSecond, settings.WritesPerSecond, metrics)
 	mux := http.NewServeMux()
-	mux.Handle("/v1/", service)
+	rows := bfservice.NewRows(faults, group, settings.ReadsPerSecond, settings.WritesPerSecond, metrics)
+	mux.HandleFunc("/v1/", func(w http.ResponseWriter, r *http.Request) {
+		if bfdialect.IsRowsCall(r.URL.Path) {
+			rows.ServeHTTP(w, r)
+			return
+		}
+		service.ServeHTTP(w, r)
+	})
+	mux.HandleFunc("/configuration", rows.Operate)
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("POST /faults", func(w http.ResponseWriter, r *http.Request) { switchFault(faults, w, r) })
 	mux.HandleFunc("DELETE /faults", func(w http.ResponseWriter, _ *http.Request) {
