Lost nodes are looked for without requests, and their rows go

Change: a node that takes no connection gets no request until a connection of its own is taken; after 6 s its row is removed, unless more than a third of the fleet is out of reach. A connection may take 200 ms (before: 300).

--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"log/slog"
 	"maps"
@@ -24,6 +25,7 @@
 	"bilberryflow.org/lib/bfpresence"
 	"bilberryflow.org/lib/bfprogram"
 	"bilberryflow.org/lib/bfserver"
+	"bilberryflow.org/lib/bfstore"
 	"bilberryflow.org/lib/bftimer"
 	"bilberryflow.org/lib/bftraffic"
 	"bilberryflow.org/platform/bfdialect"
@@ -44,6 +46,7 @@
 	host     *bfhost.Host
 	entry    *bfentry.Handler
 	pacer    *bfhost.Pacer
+	store    *bfdialect.Store
 	presence *bfpresence.Presence
 	state    *state
 	config   *bffollow.Follower
@@ -58,7 +61,7 @@
 	// dialTimeout bounds a connection to another node or the target. Packets
 	// between failure domains take milliseconds; a lost first packet is sent
 	// again after a second, and another target is nearer than that.
-	dialTimeout = 300 * time.Millisecond
+	dialTimeout = 200 * time.Millisecond
 	// targetIdle is how long a connection to the target is kept unused where the
 	// target states no time: it states whole seconds, so an unstated time is
 	// below one.
@@ -110,10 +113,11 @@
 	})
 	n.entry = bfentry.New(bfentry.Parts{
 		Service: common.Service, Inbound: common.Inbound, Names: names,
-		Traffic: n.traffic, Fleet: n.fleet, Host: n.host, Client: n.nodes, Pacer: n.pacer, Terms: settings.Repeats.terms(),
+		Traffic: n.traffic, Fleet: n.fleet, Host: n.host, Client: n.nodes, Pacer: n.pacer, Spawn: n.group.Go, Gone: n.forget, Terms: settings.Repeats.terms(),
 		Timer: n.timer, Logger: logger, Metrics: n.metrics,
 	})
-	n.followStore(bfdialect.NewStore(common.PlatformAddress))
+	n.store = bfdialect.NewStore(common.PlatformAddress)
+	n.followStore(n.store)
 	n.talkToNodes()
 	n.ready = readiness{configured: func() bool { return n.traffic.Current() != nil }}
 	return n
@@ -152,6 +156,27 @@
 	maps.Copy(methods, n.news.Methods())
 }
 
+// forget removes the row of a member that is out of reach, so that nobody goes on
+// looking for a machine that is gone. Whoever is first does it for all.
+func (n *node) forget(member bffleet.Member) {
+	if !n.answers() || member.Revision == 0 {
+		return
+	}
+	n.group.Go("forget a member", func(ctx context.Context) error {
+		err := n.store.Remove(ctx, membersTable, member.Inbound, member.Revision)
+		var conflict *bfstore.ConflictError
+		switch {
+		case errors.As(err, &conflict):
+			// Another node was first, or the member has written its row again.
+		case err != nil:
+			n.logger.Emit(bflog.AnnounceError, slog.String("member", member.Inbound), bflog.Err(err))
+		default:
+			n.logger.Emit(bflog.RowForgotten, slog.String("member", member.Inbound))
+		}
+		return nil
+	})
+}
+
 // targetChanged has the table of members follow what the target does.
 func (n *node) targetChanged(target *bfhost.Target) {
 	if target == nil {
--- a/bfnode/internal/bfmesh/state.go
+++ b/bfnode/internal/bfmesh/state.go
@@ -85,6 +85,7 @@
 			s.logger.Emit(bflog.InvariantBroken, slog.String("member", entry.Key), bflog.Err(err))
 			continue
 		}
+		member.Revision = entry.Revision
 		members = append(members, member)
 	}
 	s.mu.Lock()
--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -212,6 +212,9 @@
 			if length := target.SetAside(now); length > 0 {
 				c.handler.reportAside(target, end, length)
 			}
+			if end.Err != nil {
+				c.handler.lookFor(target)
+			}
 			return
 		}
 	case bfhost.Shed, bfhost.Lost:
--- a/lib/bfentry/entry_test.go
+++ b/lib/bfentry/entry_test.go
@@ -48,6 +48,8 @@
 	front *httptest.Server
 	fleet *bffleet.Fleet
 	nodes []*node
+	// gone is the member that the entry last gave up.
+	gone atomic.Pointer[bffleet.Member]
 }
 
 const slots = 2
@@ -78,6 +80,7 @@
 		Host:   bfhost.New(bfhost.Parts{Service: "vault", Timer: timer}),
 		Client: bfexchange.New(bfexchange.Options{DialTimeout: time.Second, IdleUnstated: time.Second}),
 		Logger: bflog.Discard(), Metrics: bfmetric.New(),
+		Spawn: group.Go, Gone: func(member bffleet.Member) { m.gone.Store(&member) },
 	})
 	m.front = httptest.NewServer(m.entry)
 	t.Cleanup(m.front.Close)
@@ -351,3 +354,64 @@
 	m.NoErr(err)
 	return response
 }
+
+// A machine is lost and its row still stands. The first request finds that its
+// node takes no connection; later ones must not go there to find out whether it
+// is back, since each would wait for a connection. In the end the row goes.
+func TestLostNodeIsLookedForWithoutRequests(t *testing.T) {
+	m := newMesh(t, generous, hello, hello, hello, hello)
+	lost := m.nodes[0]
+	lost.inbound.CloseClientConnections()
+	lost.inbound.Close()
+	for i := range 40 {
+		answer, _ := m.ask(http.MethodPost, fmt.Sprint("/approve/", i), nil)
+		m.Equal(answer, "200 hello")
+	}
+	m.Equal(m.fleet.Lost(), 1)
+	m.Equal(lost.runs.Load(), int32(0))
+	deadline := time.Now().Add(goneAfter + 5*time.Second)
+	for m.gone.Load() == nil && time.Now().Before(deadline) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	m.True(m.gone.Load() != nil)
+	m.Equal(m.gone.Load().Inbound, lost.address())
+}
+
+// A node is cut off from most others. It must not take them for lost.
+func TestNodeThatIsCutOffForgetsNobody(t *testing.T) {
+	m := newMesh(t, generous, hello, hello, hello)
+	for _, n := range m.nodes[:2] {
+		n.inbound.CloseClientConnections()
+		n.inbound.Close()
+	}
+	for i := range 40 {
+		m.ask(http.MethodGet, fmt.Sprint("/look/", i), nil)
+	}
+	m.Equal(m.fleet.Lost(), 2)
+	time.Sleep(goneAfter + 1500*time.Millisecond)
+	m.True(m.gone.Load() == nil)
+}
+
+// A node restarts. It is used again soon after it takes connections.
+func TestNodeThatReturnsIsFound(t *testing.T) {
+	m := newMesh(t, generous, hello, hello)
+	lost := m.nodes[0]
+	address := lost.address()
+	lost.inbound.CloseClientConnections()
+	lost.inbound.Close()
+	for i := range 20 {
+		m.ask(http.MethodGet, fmt.Sprint("/look/", i), nil)
+	}
+	m.Equal(m.fleet.Lost(), 1)
+	listener, err := net.Listen("tcp", address)
+	m.NoErr(err)
+	again := &http.Server{Handler: bfhost.NewInbound(lost.host, nil)}
+	group := bfgroup.New(context.Background())
+	group.Go("again", func(context.Context) error { _ = again.Serve(listener); return nil })
+	defer again.Close()
+	deadline := time.Now().Add(3 * time.Second)
+	for m.fleet.Lost() > 0 && time.Now().Before(deadline) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	m.Equal(m.fleet.Lost(), 0)
+}
--- a/lib/bfentry/handler.go
+++ b/lib/bfentry/handler.go
@@ -33,7 +33,11 @@
 	// Client sends requests to other nodes.
 	Client *bfexchange.Client
 	// Pacer is shared by all ports of the node, nil where nothing is paced.
-	Pacer   *bfhost.Pacer
+	Pacer *bfhost.Pacer
+	// Spawn starts a goroutine of the node's group.
+	Spawn func(name string, fn func(ctx context.Context) error)
+	// Gone is called for a member that was looked for in vain for long.
+	Gone    func(bffleet.Member)
 	Terms   bfretry.Terms
 	Timer   *bftimer.Service
 	Logger  *bflog.Logger
--- a/lib/bfexchange/pool.go
+++ b/lib/bfexchange/pool.go
@@ -82,6 +82,24 @@
 	freed time.Time
 }
 
+// Warm opens a connection to address for the next request.
+func (c *Client) Warm(ctx context.Context, address string) error {
+	opened, err := c.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	c.give(opened)
+	return nil
+}
+
+func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
+	opened, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: opened, address: address, reader: bufio.NewReader(opened), keep: c.options.IdleUnstated}, nil
+}
+
 // take gives a connection to address, kept or new.
 func (c *Client) take(ctx context.Context, address string) (*conn, error) {
 	for {
@@ -94,11 +112,7 @@
 		}
 		kept.Close()
 	}
-	opened, err := c.dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return &conn{Conn: opened, address: address, reader: bufio.NewReader(opened), keep: c.options.IdleUnstated}, nil
+	return c.dial(ctx, address)
 }
 
 func (c *Client) takeIdle(address string) *conn {
--- a/lib/bffleet/fleet.go
+++ b/lib/bffleet/fleet.go
@@ -104,6 +104,20 @@
 	return t.member, true
 }
 
+// Lost is how many members' nodes are being looked for.
+func (f *Fleet) Lost() int {
+	lost := 0
+	for _, t := range f.view.Load().members {
+		if t.probing.Load() {
+			lost++
+		}
+	}
+	return lost
+}
+
+// Holds reports whether the target is that of a present member.
+func (f *Fleet) Holds(t *Target) bool { return f.view.Load().members[t.member.Inbound] == t }
+
 // Size is the number of members.
 func (f *Fleet) Size() int { return len(f.view.Load().members) }
 
--- a/lib/bffleet/member.go
+++ b/lib/bffleet/member.go
@@ -18,6 +18,8 @@
 	Slots int `cbor:"5,keyasint"`
 	// LinkMbps is the bandwidth of the node's link in whole Mbit/s.
 	LinkMbps int `cbor:"6,keyasint,omitempty"`
+	// Revision is that of the row in the store; the row itself does not hold it.
+	Revision uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Encode writes the member as a row's value.
--- a/lib/bffleet/target.go
+++ b/lib/bffleet/target.go
@@ -22,6 +22,9 @@
 	judged atomic.Int64
 	// slowness is how long the target takes, in 1/65536 of the mean of its service.
 	slowness atomic.Uint32
+	// probing says that the target's node is being looked for, and that no request
+	// goes there until it is found.
+	probing atomic.Bool
 	// probed is when the target was last chosen for want of news, in nanoseconds since 1970.
 	probed atomic.Int64
 }
@@ -84,7 +87,23 @@
 	}
 }
 
+// LookFor has the target get no requests until Found, and reports whether nobody
+// looks for it yet.
+//
+// A request that is sent to find out whether a lost machine is back waits for a
+// connection that nobody takes: a nested call is late then, and its parent fails.
+func (t *Target) LookFor() bool { return t.probing.CompareAndSwap(false, true) }
+
+// Found ends LookFor: the target's node takes connections.
+func (t *Target) Found() {
+	t.Present()
+	t.probing.Store(false)
+}
+
 func (t *Target) aside(now time.Time) bool {
+	if t.probing.Load() {
+		return true
+	}
 	away := t.away.Load()
 	return away != nil && now.Before(away.until)
 }
--- a/lib/bflog/events.go
+++ b/lib/bflog/events.go
@@ -63,6 +63,8 @@
 	StoreLost     = declare(2101, slog.LevelWarn, "store does not answer this node", "Requests go on by what is held; other nodes are asked for news.")
 	StoreRegained = declare(2102, slog.LevelInfo, "store answers this node again", "Nothing.")
 	StoreListed   = declare(2103, slog.LevelInfo, "table read whole", "Nothing; it follows a start or history that the store dropped.")
+	NodeFound     = declare(3104, slog.LevelInfo, "node takes connections again", "Nothing.")
+	RowForgotten  = declare(3105, slog.LevelWarn, "row of a lost node removed", "Nothing; if the node lives it writes its row again.")
 	FleetChanged  = declare(3101, slog.LevelInfo, "members changed", "Nothing.")
 	RequestLate   = declare(4105, slog.LevelInfo, "answer came after its objective", "last_sending less slot_wait and at_target is the way between the nodes.")
 	TargetAside   = declare(4106, slog.LevelInfo, "target passed over for a while", "The reason is its node's; it is tried again by itself.")
