--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -16,9 +16,11 @@
 type call struct {
 	handler *Handler
 	// caller ends when the caller leaves.
-	caller   context.Context
-	route    *bftraffic.Route
-	service  string
+	caller  context.Context
+	route   *bftraffic.Route
+	service string
+	// version is that of the configuration by which the request is treated.
+	version  bftraffic.Version
 	request  *bfexchange.Request
 	arrived  time.Time
 	deadline time.Time
@@ -173,6 +175,14 @@
 
 func failed(end bfhost.Answered) bool { return end.Answer.Status >= http.StatusInternalServerError }
 
+// lastNode is the node that was asked last, "" before the first.
+func (c *call) lastNode() string {
+	if len(c.tried) == 0 {
+		return ""
+	}
+	return c.tried[len(c.tried)-1].Member().Inbound
+}
+
 // mayRepeat decides whether a request that reached a target is sent to another.
 func (c *call) mayRepeat(ctx context.Context) bool {
 	now := c.handler.parts.Timer.Now()
--- a/lib/bfentry/handler.go
+++ b/lib/bfentry/handler.go
@@ -101,6 +101,9 @@
 		return
 	}
 	c, err := h.newCall(r, route, parent, now)
+	if c != nil {
+		c.version = traffic.Version()
+	}
 	if err != nil {
 		// The body broke off: the caller has gone or its connection has.
 		http.Error(w, "unreadable request: "+err.Error(), http.StatusBadRequest)
@@ -203,13 +206,13 @@
 	}
 	h.report(bflog.RequestLate, c, slog.Int("status", answer.Status), slog.Duration("objective", c.route.Objective()),
 		slog.Duration("earlier_attempts", c.used), slog.Duration("last_sending", c.lastTook),
-		slog.Duration("slot_wait", answer.Spent.Wait), slog.Duration("at_target", answer.Spent.Run),
-		slog.String("node", c.tried[len(c.tried)-1].Member().Inbound))
+		slog.Duration("slot_wait", answer.Spent.Wait), slog.Duration("at_target", answer.Spent.Run))
 }
 
 func (h *Handler) report(event bflog.Event, c *call, attributes ...slog.Attr) {
 	h.parts.Logger.Emit(event, append([]slog.Attr{
 		slog.String("request", c.request.ID), slog.String("route", c.route.Name()), slog.String("service", c.service),
+		slog.String("node", c.lastNode()), slog.Uint64("version", uint64(c.version)), slog.Int("members", h.parts.Fleet.Size()),
 		slog.Int("sent", c.sent), slog.Bool("nested", c.parent != nil), slog.Int("asked", len(c.tried)),
 		slog.Duration("after", h.parts.Timer.Now().Sub(c.arrived)),
 		slog.Duration("left", c.deadline.Sub(h.parts.Timer.Now())),
