--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -100,9 +100,11 @@
 
 func (c *call) demand() bffleet.Demand {
 	name := c.route.Name()
+	usual := time.Duration(c.handler.times.of(name))
 	return bffleet.Demand{
+		Usual:   usual,
 		Service: c.service, Bytes: int(c.handler.bytes.of(name)),
-		Haste: float64(c.handler.times.of(name)) / float64(max(c.route.Objective(), 1)),
+		Haste: float64(usual) / float64(max(c.route.Objective(), 1)),
 	}
 }
 
--- a/lib/bffleet/fleet.go
+++ b/lib/bffleet/fleet.go
@@ -136,9 +136,10 @@
 	// answer takes the node's link a second: downloads of a node with a target of
 	// their own take a slow link once and not twice.
 	linkCost = 10
-	// fullFor is how long a full target in another domain is not asked again;
-	// each of its slots is held about five times as long.
-	fullFor = 25 * time.Millisecond
+	// fullShare is the part of a request's mean time for which a full target in
+	// another domain is not asked again. Of about ten slots one or two are free by
+	// then, and its own domain is nearer to them.
+	fullShare = 0.25
 	// failingCost is the load that a target counts for that fails every request.
 	failingCost = 2.0
 	// lateCost is the load that a target counts for where a request is expected to
@@ -175,6 +176,8 @@
 	// Haste is the part of its objective that a request of its route takes at a
 	// target of mean speed.
 	Haste float64
+	// Usual is how long a request of its route takes in the mean.
+	Usual time.Duration
 }
 
 // Pick chooses the target of the next sending among those that were not tried.
@@ -182,7 +185,7 @@
 	var best Choice
 	bestCost := 0.0
 	for _, t := range f.view.Load().services[demand.Service] {
-		if t.aside(now) || slices.Contains(tried, t) || t.surelyFull(f.place.Domain, now) {
+		if t.aside(now) || slices.Contains(tried, t) || t.surelyFull(f.place.Domain, demand, now) {
 			continue
 		}
 		cost, full := t.cost(f.place, demand, now)
@@ -198,9 +201,9 @@
 
 // surelyFull reports whether a target in another domain said moments ago that it
 // has no free slot. To ask it again costs bytes between domains for next to no chance.
-func (t *Target) surelyFull(domain string, now time.Time) bool {
+func (t *Target) surelyFull(domain string, demand Demand, now time.Time) bool {
 	told := t.told.Load()
-	return t.member.Domain != domain && told != nil && told.used >= told.slots && now.Sub(told.when) < fullFor
+	return t.member.Domain != domain && told != nil && told.used >= told.slots && float64(now.Sub(told.when)) < fullShare*float64(demand.Usual)
 }
 
 func (t *Target) cost(place Place, demand Demand, now time.Time) (cost float64, full bool) {
