--- /dev/null
+++ b/bftrial/internal/bfsoak/walk_test.go
@@ -0,0 +1,157 @@
+package bfsoak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"bilberryflow.org/bftrial/internal/bffleet"
+	"bilberryflow.org/lib/bfgroup"
+	"bilberryflow.org/lib/bftraffic"
+)
+
+// walkWorld starts nodes and targets without faults.
+func walkWorld(t *testing.T, nodes int) *world {
+	t.Helper()
+	binaries := t.TempDir()
+	for _, program := range []string{"bfnode", "bfplatform"} {
+		build := exec.Command("go", "build", "-o", filepath.Join(binaries, program), "./"+program)
+		build.Dir = filepath.Join("..", "..", "..")
+		if out, err := build.CombinedOutput(); err != nil {
+			t.Fatalf("building %s: %v\n%s", program, err, out)
+		}
+	}
+	fleet, err := bffleet.New(binaries)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{
+		options: Options{Nodes: nodes}, out: io.Discard, fleet: fleet, group: bfgroup.New(context.Background()), ledger: newLedger(),
+		acked: map[bftraffic.Version]time.Time{}, seen: map[*bffleet.Process]bftraffic.Version{},
+	}
+	t.Cleanup(func() {
+		w.group.Cancel()
+		if err := fleet.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	if err := w.start(); err != nil {
+		t.Fatal(err)
+	}
+	return w
+}
+
+// pageCommand is the command of docs/OPERATIONS.md that finds a request's lines;
+// the test runs it as it stands there, so that the page can't go stale.
+func pageCommand(t *testing.T, id string) string {
+	t.Helper()
+	page, err := os.ReadFile(filepath.Join("..", "..", "..", "docs", "OPERATIONS.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := regexp.MustCompile(`(?m)^(grep .*REQUEST-ID.*)$`).FindSubmatch(page)
+	if found == nil {
+		t.Fatal("the page has no command that finds a request")
+	}
+	return strings.ReplaceAll(string(found[1]), "REQUEST-ID", id)
+}
+
+// lines runs the page's command over the nodes' logs until it finds a line of the event.
+func lines(t *testing.T, w *world, id string, event int) string {
+	t.Helper()
+	command := pageCommand(t, id)
+	deadline := time.Now().Add(5 * time.Second)
+	for {
+		directory := t.TempDir()
+		for _, n := range w.nodes {
+			path := filepath.Join(directory, n.process.Settings().Instance+".log")
+			if err := os.WriteFile(path, []byte(n.process.Process().Log()), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		run := exec.Command("sh", "-c", command)
+		run.Dir = directory
+		out, _ := run.Output() // grep's code says only whether it found something
+		if strings.Contains(string(out), fmt.Sprintf(`"event":%d`, event)) {
+			t.Logf("%s\n%s", command, out)
+			return string(out)
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%s found no event %d:\n%s", command, event, out)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func wants(t *testing.T, text string, parts ...string) {
+	t.Helper()
+	for _, part := range parts {
+		if !strings.Contains(text, part) {
+			t.Errorf("no %s in %s", part, text)
+		}
+	}
+}
+
+// A spike takes every slot, and a caller is refused. From its ID the log must say
+// that it was refused for want of slots, how many targets were asked, and when it
+// was told to come back.
+func TestWalkOfARefusedRequest(t *testing.T) {
+	w := walkWorld(t, 1)
+	w.nodes[0].target.proxy.set(pass, 400*time.Millisecond)
+	for range targetSlots {
+		w.group.Go("spike", func(ctx context.Context) error {
+			w.ask(ctx, &http.Client{}, w.nodes[0], false, "vault")
+			return nil
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	refused := w.ask(context.Background(), &http.Client{}, w.nodes[0], true, "vault")
+	if refused.status != http.StatusServiceUnavailable {
+		t.Fatalf("status %d, %v", refused.status, refused.err)
+	}
+	wants(t, lines(t, w, refused.id, 4101), `"reason":"full"`, `"asked":1`, `"come_back":`)
+}
+
+// The node beside a target is killed while the target runs an approval. The
+// caller is told that nobody knows; the log must say which node had it and how
+// the connection ended, and then that the node was passed over.
+func TestWalkOfALostRequest(t *testing.T) {
+	w := walkWorld(t, 2)
+	entry, killed := w.nodes[0], w.nodes[1]
+	entry.target.stop(context.Background(), true)
+	killed.target.proxy.set(pass, 400*time.Millisecond)
+	ends := make(chan outcome, 1)
+	w.group.Go("approval", func(ctx context.Context) error {
+		ends <- w.ask(ctx, &http.Client{}, entry, false, "vault")
+		return nil
+	})
+	time.Sleep(500 * time.Millisecond)
+	if err := killed.process.Process().Kill(); err != nil {
+		t.Fatal(err)
+	}
+	lost := <-ends
+	if lost.status != http.StatusBadGateway {
+		t.Fatalf("status %d, %v", lost.status, lost.err)
+	}
+	wants(t, lines(t, w, lost.id, 4102), `"node":"`+killed.process.Settings().Listen.Inbound+`"`, `"reason":"no answer from`)
+}
+
+// A node believes that a target works that has fallen silent. A look-up waits
+// there and is late; the log must say which node had it and where the time went.
+func TestWalkOfALateRequest(t *testing.T) {
+	w := walkWorld(t, 1)
+	w.nodes[0].target.proxy.set(pass, 250*time.Millisecond)
+	late := w.ask(context.Background(), &http.Client{}, w.nodes[0], true, "vault")
+	if late.status != http.StatusOK {
+		t.Fatalf("status %d, %v", late.status, late.err)
+	}
+	wants(t, lines(t, w, late.id, 4105), `"objective":`, `"slot_wait":`, `"at_target":`, `"version":1`, `"members":1`)
+}
