--- a/Makefile
+++ b/Makefile
@@ -20,13 +20,15 @@
 	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
 
 lint: tools
-	@for m in lib $(PROGRAMS); do (cd $$m && $(TOOLS)/golangci-lint run ./...) || exit 1; done
+	@for m in lib platform $(PROGRAMS); do (cd $$m && $(TOOLS)/golangci-lint run ./...) || exit 1; done
 
 format: tools
-	@for m in lib $(PROGRAMS); do (cd $$m && $(TOOLS)/golangci-lint fmt ./...) || exit 1; done
+	@for m in lib platform $(PROGRAMS); do (cd $$m && $(TOOLS)/golangci-lint fmt ./...) || exit 1; done
 
 demo: build
 	@$(BIN)/bftrial demo --binaries $(BIN)
+	@echo "the same nodes on a platform that keeps the configuration, with faults:"
+	@$(BIN)/bftrial soak --binaries $(BIN) --seconds 3
 
 spec:
 	@sh spec/check.sh
--- a/bftrial/internal/bfsoak/proxy.go
+++ b/bftrial/internal/bfsoak/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -126,7 +127,7 @@
 				err = failed
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			_ = to.CloseWrite()
 			return
 		}
--- a/bftrial/internal/bfsoak/world.go
+++ b/bftrial/internal/bfsoak/world.go
@@ -221,10 +221,22 @@
 				break
 			}
 			if time.Now().After(deadline) {
-				return fmt.Errorf("node %s does not serve %s: status %d, %v", n.process.Process().Name(), route, o.status, o.err)
+				return &servingError{n.process.Process().Name(), route, o}
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
 	return nil
 }
+
+// servingError reports a node that does not serve a route.
+type servingError struct {
+	node    string
+	route   string
+	outcome outcome
+}
+
+// Error names the node, the route and what came in place of an answer.
+func (e *servingError) Error() string {
+	return fmt.Sprintf("node %s does not serve %s: status %d, %v", e.node, e.route, e.outcome.status, e.outcome.err)
+}
--- a/lib/bfentry/entry_test.go
+++ b/lib/bfentry/entry_test.go
@@ -322,7 +322,10 @@
 	r.Host = "h.example"
 	group := bfgroup.New(context.Background())
 	group.Go("leave", func(context.Context) error { <-began; cancel(); return nil })
-	_, err = http.DefaultClient.Do(r)
+	response, err := http.DefaultClient.Do(r)
+	if err == nil {
+		response.Body.Close()
+	}
 	m.True(err != nil)
 	select {
 	case <-left:
@@ -336,23 +339,26 @@
 func TestStoppingEntry(t *testing.T) {
 	m := newMesh(t, generous, hello)
 	m.entry.Leave()
-	raw := m.raw("GET /look/1 HTTP/1.1\r\nHost: h.example\r\n" + names.RequestID + ": 1\r\n\r\n")
-	m.Equal(raw.StatusCode, http.StatusOK)
-	m.True(raw.Close)
+	status, last := m.raw("GET /look/1 HTTP/1.1\r\nHost: h.example\r\n" + names.RequestID + ": 1\r\n\r\n")
+	m.Equal(status, http.StatusOK)
+	m.True(last)
 	m.entry.Close()
 	answer, _ := m.ask(http.MethodGet, "/look/2", nil)
 	m.Equal(answer, "503 ")
 	m.Equal(m.runs(), int32(1))
 }
 
-func (m *mesh) raw(request string) *http.Response {
+// raw sends a request as it stands, and gives the answer's status and whether it
+// is the last on its connection.
+func (m *mesh) raw(request string) (status int, last bool) {
 	c, err := net.Dial("tcp", strings.TrimPrefix(m.front.URL, "http://"))
 	m.NoErr(err)
 	_, err = io.WriteString(c, request)
 	m.NoErr(err)
 	response, err := http.ReadResponse(bufio.NewReader(c), nil)
 	m.NoErr(err)
-	return response
+	response.Body.Close()
+	return response.StatusCode, response.Close
 }
 
 // A machine is lost and its row still stands. The first request finds that its
--- a/lib/bfexchange/answer.go
+++ b/lib/bfexchange/answer.go
@@ -49,16 +49,16 @@
 // Read reads the body. An error other than io.EOF means that the answer is cut.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.response.Body.Read(p)
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		a.ended = true
 	}
 	return n, err
 }
 
 // Close ends the exchange; an answer that was not read whole ends its connection.
-func (a *Answer) Close() error {
+func (a *Answer) Close() {
 	if a.conn == nil {
-		return nil
+		return
 	}
 	k := a.conn
 	a.conn = nil
@@ -66,9 +66,9 @@
 	untouched := a.release()
 	if a.ended && a.sound && untouched && a.requestWritten() && k.reader.Buffered() == 0 {
 		a.client.give(k)
-		return nil
+		return
 	}
-	return k.Close()
+	k.Close()
 }
 
 // requestWritten reports whether the whole request was sent. A target may answer
@@ -146,7 +146,7 @@
 	sound := true
 	got := ""
 	for range maxForeign {
-		response, err := readFinal(k, request.Method)
+		response, err := readFinal(k, request.Method) //nolint:bodyclose // Answer.Close ends it with its connection.
 		if err != nil {
 			return nil, err
 		}
--- a/lib/bfexchange/request.go
+++ b/lib/bfexchange/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -141,7 +142,7 @@
 				return failed
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			_, err = io.WriteString(to, "0\r\n\r\n")
 			return err
 		}
--- a/lib/bfhost/job.go
+++ b/lib/bfhost/job.go
@@ -1,6 +1,7 @@
 package bfhost
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -160,7 +161,7 @@
 		}
 		n, err := from.Read(head[len(head):cap(head)])
 		head = head[:len(head)+n]
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return head, true, nil
 		}
 		if err != nil {
