The walk of a late request asks for a short answer

Answers to IDs that end in 7 have 80 kB, the proxy delays each piece of 16 KiB by 250 ms, and the ID depends on how often the start was polled. What the test checks is unchanged.

--- a/bftrial/internal/bfsoak/walk_test.go
+++ b/bftrial/internal/bfsoak/walk_test.go
@@ -91,6 +91,9 @@
 	}
 }
 
+// nextID is the ID of the next request.
+func nextID() string { return fmt.Sprintf("r%d", requests.Load()+1) }
+
 func wants(t *testing.T, text string, parts ...string) {
 	t.Helper()
 	for _, part := range parts {
@@ -149,6 +152,9 @@
 func TestWalkOfALateRequest(t *testing.T) {
 	w := walkWorld(t, 1)
 	w.nodes[0].target.proxy.set(pass, 250*time.Millisecond)
+	for answerOf(nextID()) != "answer to "+nextID()+"\n" {
+		requests.Add(1) // the proxy delays each piece of a long answer, up to the route's timeout
+	}
 	late := w.ask(context.Background(), &http.Client{}, w.nodes[0], true, "vault")
 	if late.status != http.StatusOK {
 		t.Fatalf("status %d, %v", late.status, late.err)
