An earlier sending that may have run decides what the caller is told

Cause, found by reading: a look-up whose first answer was lost and whose repeat a target shed was answered 503, not run, though the first may have run; a target's own failure was dropped for a repeat that brought nothing. Change: the end of a sending that has run or may have is kept; only an answer goes before it. TestLostThenShed and TestFailureThenLost failed before (503 for 502, 502 for the target's 500).

--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -88,9 +88,10 @@
 		return bfprogram.App{}, err
 	}
 	return bfprogram.App{
-		Servers:     append(ports, n),
-		Drain:       n.drain,
-		StopTimeout: settings.Grace.Std(), CloseTimeout: closeTimeout,
+		Servers:      append(ports, n),
+		Drain:        n.drain,
+		StopTimeout:  settings.Grace.Std(),
+		CloseTimeout: closeTimeout,
 	}, nil
 }
 
@@ -113,7 +114,8 @@
 	})
 	n.entry = bfentry.New(bfentry.Parts{
 		Service: common.Service, Inbound: common.Inbound, Names: names,
-		Traffic: n.traffic, Fleet: n.fleet, Host: n.host, Client: n.nodes, Pacer: n.pacer, Spawn: n.group.Go, Gone: n.forget, Terms: settings.Repeats.terms(),
+		Traffic: n.traffic, Fleet: n.fleet, Host: n.host, Client: n.nodes, Pacer: n.pacer,
+		Spawn: n.group.Go, Gone: n.forget, Terms: settings.Repeats.terms(),
 		Timer: n.timer, Logger: logger, Metrics: n.metrics,
 	})
 	n.store = bfdialect.NewStore(common.PlatformAddress)
@@ -133,7 +135,8 @@
 	}
 	follow := func(table string, gather time.Duration, apply func(bffollow.Batch)) *bffollow.Follower {
 		return bffollow.New(bffollow.Parts{
-			Table: table, Rows: store, Apply: apply, Gather: gather, Due: func() bool { return n.news.Reads() }, Timer: n.timer, Logger: n.logger, Metrics: n.metrics,
+			Table: table, Rows: store, Apply: apply, Gather: gather, Due: func() bool { return n.news.Reads() },
+			Timer: n.timer, Logger: n.logger, Metrics: n.metrics,
 		})
 	}
 	n.config = follow(bfdialect.ConfigurationTable, gatherVersions, n.state.applyConfiguration)
--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -33,6 +33,8 @@
 	// tried are the targets that were asked, sent how often one was reached.
 	tried []*bffleet.Target
 	sent  int
+	// ran is the end of an earlier sending that has run or may have, nil where there is none.
+	ran bfhost.Result
 	// lastTook is how long the newest sending took.
 	lastTook time.Duration
 	// last says that no other target is asked if this one is full, so that the
@@ -48,56 +50,100 @@
 		// A request that runs again makes its calls again.
 		budget.Charge()
 	}
-	var last bfhost.Result = bfhost.Refused{Reason: bfhost.NoTarget, RetryAfter: startingPause}
+	return c.truth(c.send(ctx))
+}
+
+// send sends the request until nothing more may be done for it.
+func (c *call) send(ctx context.Context) bfhost.Result {
+	refusal := bfhost.Refused{Reason: bfhost.NoTarget, RetryAfter: startingPause}
 	for {
 		now := c.handler.parts.Timer.Now()
 		choice := c.handler.parts.Fleet.Pick(c.demand(), now, c.tried)
 		target := choice.Target()
-		if target == nil && c.mayWait(last) {
+		if target == nil && refusal.Reason == bfhost.Full && !c.last && c.waits() {
 			c.last, c.tried = true, nil
 			continue
 		}
 		if target == nil {
-			return c.settle(last)
+			return c.refused(refusal)
 		}
 		c.tried = append(c.tried, target)
 		c.last = c.last || c.route.Kind() == bftraffic.Download && choice.Full()
 		end := c.attempt(ctx, target)
-		switch end := end.(type) {
-		case bfhost.Refused:
-			if _, unsettled := last.(bfhost.Lost); !unsettled {
-				last = worst(last, end)
-			}
-			if c.last && end.Reason == bfhost.Full {
-				return c.settle(last)
-			}
-		case bfhost.Shed:
-			c.sent++
-			last = end
-			if !c.mayRepeat(ctx) {
-				return end
-			}
-		case bfhost.Lost:
-			c.sent++
-			last = end
-			if !c.route.Kind().Repeatable() || !c.mayRepeat(ctx) {
-				return end
+		if refused, ok := end.(bfhost.Refused); ok {
+			refusal = worst(refusal, refused)
+			if c.last && refused.Reason == bfhost.Full {
+				return c.refused(refusal)
 			}
-		case bfhost.Answered:
-			c.sent++
-			if !failed(end) || !c.route.Kind().Repeatable() || !c.mayRepeat(ctx) {
-				return end
-			}
-			last = c.kept(last, end)
-		case bfhost.Expired:
+		} else if !c.goesOn(ctx, end) {
 			return end
 		}
 		if ctx.Err() != nil || c.caller.Err() != nil {
-			return c.settle(last)
+			return c.refused(refusal)
 		}
 	}
 }
 
+// goesOn reports whether the request is sent once more after a sending that a
+// target may have seen, and keeps what that sending showed.
+func (c *call) goesOn(ctx context.Context, end bfhost.Result) bool {
+	switch end := end.(type) {
+	case bfhost.Shed:
+		c.sent++
+		return c.mayRepeat(ctx)
+	case bfhost.Lost:
+		c.sent++
+		if !c.route.Kind().Repeatable() || !c.mayRepeat(ctx) {
+			return false
+		}
+		c.keep(end)
+		return true
+	case bfhost.Answered:
+		c.sent++
+		if !failed(end) || !c.route.Kind().Repeatable() || !c.mayRepeat(ctx) {
+			return false
+		}
+		c.keep(end)
+		return true
+	}
+	return false
+}
+
+// keep holds on to the end of a sending that has run or may have; a target's own
+// answer says more than none.
+func (c *call) keep(end bfhost.Result) {
+	held, ok := c.ran.(bfhost.Answered)
+	switch {
+	case !ok:
+		c.ran = end
+	case isAnswer(end):
+		held.Answer.Close()
+		c.ran = end
+	}
+}
+
+func isAnswer(end bfhost.Result) bool {
+	_, ok := end.(bfhost.Answered)
+	return ok
+}
+
+// truth is what the caller is told. A sending that did not run says nothing of an
+// earlier one that may have: a caller told "not run" by the last one alone would
+// take a request that ran for one that never did.
+func (c *call) truth(end bfhost.Result) bfhost.Result {
+	held, holds := c.ran.(bfhost.Answered)
+	switch {
+	case c.ran == nil:
+		return end
+	case isAnswer(end):
+		if holds {
+			held.Answer.Close()
+		}
+		return end
+	}
+	return c.ran
+}
+
 func (c *call) demand() bffleet.Demand {
 	name := c.route.Name()
 	usual := time.Duration(c.handler.times.of(name))
@@ -108,20 +154,6 @@
 	}
 }
 
-// kept holds on to the newest failure that a target answered with.
-func (c *call) kept(before bfhost.Result, end bfhost.Answered) bfhost.Result {
-	if held, ok := before.(bfhost.Answered); ok {
-		held.Answer.Close()
-	}
-	return end
-}
-
-// mayWait reports whether a request that every target refused may wait at one.
-func (c *call) mayWait(last bfhost.Result) bool {
-	refused, ok := last.(bfhost.Refused)
-	return ok && refused.Reason == bfhost.Full && !c.last && c.waits()
-}
-
 // waits reports whether the request may wait for a slot. Where all targets are
 // full the others are refused at once: those that waited would be late, and the
 // slots that they then take others would have had in time. A download waits at
@@ -131,21 +163,17 @@
 }
 
 // worst is the refusal that says most: a full target was there at least.
-func worst(a, b bfhost.Result) bfhost.Result {
-	refused, ok := a.(bfhost.Refused)
-	if !ok || refused.Reason == bfhost.Full {
+func worst(a, b bfhost.Refused) bfhost.Refused {
+	if a.Reason == bfhost.Full {
 		return a
 	}
 	return b
 }
 
-// settle is the end of a request that no target is left for.
-func (c *call) settle(last bfhost.Result) bfhost.Result {
-	if refused, ok := last.(bfhost.Refused); ok {
-		refused.RetryAfter = max(c.comeBack(), refused.RetryAfter)
-		return refused
-	}
-	return last
+// refused is the end of a request that no target is left for.
+func (c *call) refused(refusal bfhost.Refused) bfhost.Result {
+	refusal.RetryAfter = max(c.comeBack(), refusal.RetryAfter)
+	return refusal
 }
 
 const (
--- a/lib/bfentry/entry_test.go
+++ b/lib/bfentry/entry_test.go
@@ -421,3 +421,46 @@
 	}
 	m.Equal(m.fleet.Lost(), 0)
 }
+
+// inTurn has a target act in one way at the first request that any target gets, and in another later.
+func inTurn(first, later http.HandlerFunc) http.HandlerFunc {
+	var count atomic.Int32
+	return func(w http.ResponseWriter, r *http.Request) {
+		if count.Add(1) == 1 {
+			first(w, r)
+			return
+		}
+		later(w, r)
+	}
+}
+
+// A look-up's first answer is lost, so it may have run; the second target sheds
+// it. "Not run" is true of the second alone, and the caller must not be told so.
+func TestLostThenShed(t *testing.T) {
+	turn := inTurn(lose, shed)
+	m := newMesh(t, generous, turn, turn)
+	answer, _ := m.ask(http.MethodGet, "/look/1", nil)
+	m.Equal(answer, "502 ")
+	m.Equal(m.runs(), int32(2))
+}
+
+// As before, and the second sending ends with the route's time.
+func TestLostThenTooLate(t *testing.T) {
+	turn := inTurn(lose, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	m := newMesh(t, generous, turn, turn)
+	answer, _ := m.ask(http.MethodGet, "/look/1", nil)
+	m.True(answer == "502 " || answer == "504 ")
+}
+
+// A target answered with a failure of its own, and the repeat brought nothing.
+// The answer that is there is delivered.
+func TestFailureThenLost(t *testing.T) {
+	turn := inTurn(fail, lose)
+	m := newMesh(t, generous, turn, turn)
+	answer, _ := m.ask(http.MethodGet, "/look/1", nil)
+	m.Equal(answer, "500 broken")
+	turn = inTurn(fail, shed)
+	m = newMesh(t, generous, turn, turn)
+	answer, _ = m.ask(http.MethodGet, "/look/1", nil)
+	m.Equal(answer, "500 broken")
+}
