--- a/bftrial/internal/bfsoak/faults.go
+++ b/bftrial/internal/bfsoak/faults.go
@@ -95,14 +95,18 @@
 	}
 }
 
-// startTime is how long a process may take until its first line of code runs;
-// what is sent to it before, no program can hear.
-const startTime = 100 * time.Millisecond
+// awaitStart waits until the node's process serves. What is sent to it before its
+// first line of code runs no program can hear, and on a busy machine that line runs
+// hundreds of milliseconds after the start; signals between that line and serving
+// are the matter of TestSignalWhileSettingsAreRead in lib/bfprogram.
+func (w *world) awaitStart(n *nodeSlot) {
+	w.report("start of a node", w.fleet.Await(n.process.Process(), "http://"+n.process.Ready()))
+}
 
 func (w *world) stopNode(n *nodeSlot, _ time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	time.Sleep(startTime)
+	w.awaitStart(n)
 	n.harmed(true, func() {
 		code, err := n.process.Process().Stop(stopLimit)
 		w.report("stop of a node", err)
@@ -136,7 +140,7 @@
 func (w *world) hangUp(n *nodeSlot, _ time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	time.Sleep(startTime)
+	w.awaitStart(n)
 	n.harmed(true, func() { w.report("hang up", n.process.Process().Signal(syscall.SIGHUP)) })
 }
 
--- a/lib/bfprogram/program_test.go
+++ b/lib/bfprogram/program_test.go
@@ -14,6 +14,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/go-kratos/kratos/v2/transport"
 	"github.com/matryer/is"
@@ -206,3 +207,46 @@
 	}
 	is.NoErr(cmd.Wait())
 }
+
+// A platform says that the settings changed, or stops the process, while it still
+// reads its settings. The first must not end it; the second must stop it as
+// gracefully as later. The settings are a pipe here, so that the reading lasts
+// until the test writes them.
+func TestSignalWhileSettingsAreRead(t *testing.T) {
+	for _, sent := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+		t.Run(sent.String(), func(t *testing.T) {
+			is := is.New(t)
+			path := filepath.Join(t.TempDir(), "settings")
+			is.NoErr(syscall.Mkfifo(path, 0o600))
+			cmd := exec.Command(os.Args[0], "--settings", path)
+			cmd.Env = append(os.Environ(), asProgram+"=1")
+			out, err := cmd.StdoutPipe()
+			is.NoErr(err)
+			is.NoErr(cmd.Start())
+			pipe, err := os.OpenFile(path, os.O_WRONLY, 0) // waits for the reader
+			is.NoErr(err)
+			is.NoErr(cmd.Process.Signal(sent))
+			time.Sleep(50 * time.Millisecond)
+			_, err = pipe.WriteString(`{"name":"a"}`)
+			is.NoErr(err)
+			is.NoErr(pipe.Close())
+			lines := bufio.NewScanner(out)
+			awaitLine(t, lines, "running")
+			if sent == syscall.SIGHUP {
+				// It reads the settings once more.
+				again, err := os.OpenFile(path, os.O_WRONLY, 0)
+				is.NoErr(err)
+				_, err = again.WriteString(`{"name":"b"}`)
+				is.NoErr(err)
+				is.NoErr(again.Close())
+				awaitLine(t, lines, "reloaded b")
+				is.NoErr(cmd.Process.Signal(syscall.SIGTERM))
+			}
+			awaitLine(t, lines, "stopped")
+			for lines.Scan() {
+				continue
+			}
+			is.NoErr(cmd.Wait())
+		})
+	}
+}
