A node that takes itself for current asks back

The node takes itself for current, so it did not ask back when another node's question told of a newer version; its own questions went to a member in the same state. Ruled out: the own questions (they work where a member is ahead).

--- a/bftrial/internal/bfsoak/soak_test.go
+++ b/bftrial/internal/bfsoak/soak_test.go
@@ -17,6 +17,10 @@
 	// it, and ended the process.
 	106,
 	129,
+	// The store held two nodes' calls without a word; they knew only each other and
+	// lacked a version for 11 s, since a node that took itself for current did not
+	// ask back.
+	503,
 }
 
 func TestShortSoak(t *testing.T) {
--- a/lib/bfnews/news.go
+++ b/lib/bfnews/news.go
@@ -76,6 +76,8 @@
 	// changed wakes the telling, asking says that a reader is asked for the whole.
 	changed chan struct{}
 	asking  atomic.Bool
+	// askingBack says that a node that put a question is asked back.
+	askingBack atomic.Bool
 }
 
 // New makes the exchange of the node whose calls are taken at self.
@@ -182,22 +184,36 @@
 	}
 }
 
-// answer answers a question, and asks back where the asking node knows more
-// while the store does not answer this one.
+// answer answers a question, and asks back where the asking node knows more.
 func (e *Exchange) answer(_ context.Context, params json.RawMessage) (any, error) {
 	var asked question
 	if err := json.Unmarshal(params, &asked); err != nil {
 		return nil, err
 	}
-	if e.behind(asked.Version, asked.Revision) && !e.state.Current() {
+	if e.behind(asked.Version, asked.Revision) && e.askingBack.CompareAndSwap(false, true) {
 		e.spawn("ask back", func(ctx context.Context) error {
-			e.ask(ctx, asked.Peer)
+			defer e.askingBack.Store(false)
+			e.askBack(ctx, asked)
 			return nil
 		})
 	}
 	return e.reply(asked)
 }
 
+// askBack asks the node that put a question for what it knows more.
+//
+// A store that holds this node's calls without a word leaves it with an old
+// version while it takes itself for current; where the members it knows are in the
+// same state, only the question of one that it doesn't know shows that.
+func (e *Exchange) askBack(ctx context.Context, asked question) {
+	if e.state.Current() && e.timer.Wait(ctx, storeLead) != nil {
+		return
+	}
+	if e.behind(asked.Version, asked.Revision) {
+		e.put(ctx, asked.Peer, true)
+	}
+}
+
 func (e *Exchange) reply(asked question) (reply, error) {
 	r := reply{Version: e.state.Version(), Revision: e.state.Revision()}
 	if !asked.Send {
--- a/lib/bfnews/news_test.go
+++ b/lib/bfnews/news_test.go
@@ -165,6 +165,23 @@
 	}
 }
 
+// A caller is treated by an old version for as long as the store holds the node's
+// calls without a word. The node takes itself for current and knows only members
+// that are in the same state, so that its own questions bring nothing. One that it
+// doesn't know asks it, with a newer version: the node has to ask back.
+func TestNodeWhoseFeedIsForgottenAsksBack(t *testing.T) {
+	group := bfgroup.New(context.Background())
+	defer group.Cancel()
+	timer := bftimer.New(1)
+	group.Go("timer", timer.Run)
+	stale, staleAddress := start(t, group, timer, true)
+	fresh, freshAddress := start(t, group, timer, true)
+	stale.TakeRoster(Roster{Revision: 9, Members: []bffleet.Member{{Inbound: "a", Peer: staleAddress}}})
+	fresh.TakeRoster(Roster{Revision: 9, Members: []bffleet.Member{{Inbound: "a", Peer: staleAddress}, {Inbound: "b", Peer: freshAddress}}})
+	fresh.TakeSpec(bftraffic.Spec{Version: 7})
+	await(t, "the node holds the new version", func() bool { return stale.Version() == 7 })
+}
+
 func TestNothingNewCostsNothing(t *testing.T) {
 	is := is.New(t)
 	state := &holding{fleet: bffleet.New(bffleet.Place{Domain: "nord"})}
