Callers that come back are known by the end of their wait

Cause: how long a caller had waited was taken from the longest time that callers of its route allow. Ruled out: real repeats (136 refusals against 25,494 late answers). Now a node remembers its refusals by route and by the moment at which the caller's wait ends.

--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -50,7 +50,33 @@
 		// A request that runs again makes its calls again.
 		budget.Charge()
 	}
-	return c.truth(c.send(ctx))
+	end := c.truth(c.send(ctx))
+	if shed, ok := end.(bfhost.Shed); ok {
+		shed.RetryAfter = c.comeBack()
+		return shed
+	}
+	return end
+}
+
+// remember notes a request that was not served, for when its caller comes back.
+func (c *call) remember(end bfhost.Result) {
+	if c.parent != nil {
+		return
+	}
+	now := c.handler.parts.Timer.Now()
+	due := now
+	switch end := end.(type) {
+	case bfhost.Answered:
+		if !failed(end) {
+			return
+		}
+	case bfhost.Refused:
+		due = now.Add(end.RetryAfter)
+	case bfhost.Shed:
+		due = now.Add(end.RetryAfter)
+	case bfhost.Lost, bfhost.Expired:
+	}
+	c.handler.attempts.note(c.route.Name(), attempt{began: c.arrived.Add(-c.used), due: due, deadline: c.callerDeadline}, now)
 }
 
 // send sends the request until nothing more may be done for it.
--- a/lib/bfentry/handler.go
+++ b/lib/bfentry/handler.go
@@ -51,10 +51,9 @@
 	// bytes and times are each route's mean bytes of a request with its answer, and
 	// mean nanoseconds from a sending to its answer.
 	bytes, times means
-	// longest is the longest time that callers of each route allow. Who allows
-	// less has come back: callers count the time from their first attempt.
-	longest maxima
-	metrics metrics
+	// attempts are requests that were not served and whose callers may come back.
+	attempts attempts
+	metrics  metrics
 	// active is how many requests are in progress.
 	active atomic.Int64
 	// leaving has callers told to come back on a new connection, closed that nothing more is taken.
@@ -123,6 +122,7 @@
 	defer cancel()
 	end := c.run(ctx)
 	h.metrics.observe(c, end, h.parts.Timer.Now())
+	c.remember(end)
 	switch end := end.(type) {
 	case bfhost.Answered:
 		defer end.Answer.Close()
@@ -134,8 +134,8 @@
 		h.report(bflog.RequestRefused, c, slog.String("reason", string(end.Reason)), slog.Duration("come_back", end.RetryAfter))
 		refuse(w, end.RetryAfter)
 	case bfhost.Shed:
-		h.report(bflog.RequestRefused, c, slog.String("reason", "shed by the target"))
-		refuse(w, c.comeBack())
+		h.report(bflog.RequestRefused, c, slog.String("reason", "shed by the target"), slog.Duration("come_back", end.RetryAfter))
+		refuse(w, end.RetryAfter)
 	case bfhost.Lost:
 		h.report(bflog.RequestLost, c, slog.String("reason", end.Reason))
 		w.WriteHeader(http.StatusBadGateway)
@@ -171,12 +171,14 @@
 	}
 	if left, err := strconv.ParseInt(r.Header.Get(h.parts.Names.Deadline), 10, 64); err == nil && left > 0 {
 		asked := time.Duration(left) * time.Millisecond
-		c.used = h.longest.of(route.Name(), asked) - asked
 		c.callerDeadline = now.Add(asked)
 		if c.callerDeadline.Before(c.deadline) {
 			c.deadline = c.callerDeadline
 		}
 	}
+	if parent == nil {
+		c.used = h.attempts.used(route.Name(), c.callerDeadline, now)
+	}
 	request, err := bfhost.ReadRequest(r, h.parts.Names.RequestID)
 	if err != nil {
 		return nil, err
--- a/lib/bfentry/means.go
+++ b/lib/bfentry/means.go
@@ -3,7 +3,6 @@
 import (
 	"sync"
 	"sync/atomic"
-	"time"
 )
 
 // means holds a mean for each route; its zero value is empty. Routes come from the configuration, so their number
@@ -33,18 +32,3 @@
 	}
 	return held.(*atomic.Int64).Load()
 }
-
-// maxima holds the longest time seen for each route; its zero value is empty.
-type maxima struct{ byRoute sync.Map }
-
-// of takes one more time of a route and gives the longest so far.
-func (m *maxima) of(route string, d time.Duration) time.Duration {
-	held, _ := m.byRoute.LoadOrStore(route, new(atomic.Int64))
-	longest := held.(*atomic.Int64)
-	for {
-		before := longest.Load()
-		if int64(d) <= before || longest.CompareAndSwap(before, int64(d)) {
-			return max(d, time.Duration(before))
-		}
-	}
-}
--- a/lib/bfhost/job.go
+++ b/lib/bfhost/job.go
@@ -67,7 +67,11 @@
 type Answered struct{ Answer *Answer }
 
 // Shed is the target's own word that it has not run the request.
-type Shed struct{ Status int }
+type Shed struct {
+	Status int
+	// RetryAfter is when the caller is told to come back; the entry sets it.
+	RetryAfter time.Duration
+}
 
 // Lost means that the request was handed over and no whole answer came: it may have run.
 type Lost struct{ Reason string }
