The walk over full targets is bounded by the objective

Cause: a request went from one full target to the next until none was left: 3 to 30 of 54, at 50 to 100 ms each on slow machines. Ruled out: waits for slots (slot_wait 0 at the median), the target (0.2 to 0.6 s). Now it stops after a tenth of its objective and is told when to come back. TestLargeFullFleetRefusesSoon fails without it.

--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -86,11 +86,12 @@
 		now := c.handler.parts.Timer.Now()
 		choice := c.handler.parts.Fleet.Pick(c.demand(), now, c.tried)
 		target := choice.Target()
-		if target == nil && refusal.Reason == bfhost.Full && !c.last && c.waits() {
+		done := target == nil || c.askedLong(now, refusal)
+		if done && refusal.Reason == bfhost.Full && !c.last && c.waits() {
 			c.last, c.tried = true, nil
 			continue
 		}
-		if target == nil {
+		if done {
 			return c.refused(refusal)
 		}
 		c.tried = append(c.tried, target)
@@ -110,6 +111,19 @@
 	}
 }
 
+// askShare is the part of its objective for which a request goes from one full
+// target to the next. One that walked on through dozens of them got its slot after
+// 1.5 s of an objective of 0.8 s: it held a slot that a fresh request would have
+// had in time, and many such kept a fleet of 54 targets late after its restart.
+const askShare = 0.1
+
+// askedLong reports whether the request has gone from one full target to the next
+// for as long as it may. A nested call goes on: its parent holds a slot meanwhile.
+func (c *call) askedLong(now time.Time, refusal bfhost.Refused) bool {
+	return c.parent == nil && !c.last && refusal.Reason == bfhost.Full &&
+		float64(now.Sub(c.arrived)) > askShare*float64(c.route.Objective())
+}
+
 // goesOn reports whether the request is sent once more after a sending that a
 // target may have seen, and keeps what that sending showed.
 func (c *call) goesOn(ctx context.Context, end bfhost.Result) bool {
--- a/lib/bfentry/entry_test.go
+++ b/lib/bfentry/entry_test.go
@@ -229,6 +229,35 @@
 	m.Equal(m.runs(), int32(slots))
 }
 
+// Every target of a large fleet is full, and each refusal takes a while. A request
+// that asked them all would hold its caller for its whole time, and take the first
+// slot that comes free from a request that could still be in time. It is told to
+// come back while it can.
+func TestLargeFullFleetRefusesSoon(t *testing.T) {
+	const fleet = 30
+	const refusalTime = 20 * time.Millisecond
+	m := newMesh(t, generous)
+	var asked atomic.Int32
+	var members []bffleet.Member
+	for range fleet {
+		full := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			asked.Add(1)
+			time.Sleep(refusalTime)
+			w.Header().Set(bfheader.Outcome, "refused")
+			w.Header().Set(bfheader.Reason, string(bfhost.Full))
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}))
+		t.Cleanup(full.Close)
+		members = append(members, bffleet.Member{Inbound: strings.TrimPrefix(full.URL, "http://"), Service: "portal", Domain: "nord", Slots: slots})
+	}
+	m.fleet.Replace(members)
+	answer, header := m.ask(http.MethodGet, "/look/1", nil)
+	m.Equal(answer, "503 ")
+	m.True(header.Get("Retry-After") != "")
+	// A tenth of 400 ms, and the sending that was on its way.
+	m.True(asked.Load() <= 4)
+}
+
 // A target took a nomination and its answer was lost. Sent again it could load
 // the fuel twice; the caller is told that nobody knows.
 func TestLostAnswerOfANonIdempotentRequest(t *testing.T) {
