--- a/lib/bfhost/host.go
+++ b/lib/bfhost/host.go
@@ -35,6 +35,8 @@
 	target atomic.Pointer[Target]
 	// leaving says that the node itself takes no new work.
 	leaving atomic.Bool
+	// running counts the requests that the target works on, and those of other nodes
+	// whose answers are on their way.
 	running atomic.Int64
 	// parents holds a Parent for the ID of each request that the target works on.
 	parents sync.Map
@@ -90,7 +92,8 @@
 // Leaving reports whether the node takes no new work for its target.
 func (h *Host) Leaving() bool { return h.leaving.Load() }
 
-// Running is how many requests the target works on.
+// Running is 0 once the target works on nothing and no answer is on its way to
+// another node.
 func (h *Host) Running() int64 { return h.running.Load() }
 
 // usable gives the target if it takes new work of the service.
--- a/lib/bfhost/inbound.go
+++ b/lib/bfhost/inbound.go
@@ -22,6 +22,9 @@
 
 // ServeHTTP takes one request of another node to its end.
 func (i *Inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// The target is done before its answer has left on a slow link.
+	i.host.running.Add(1)
+	defer i.host.running.Add(-1)
 	job, err := i.read(r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
