Late requests leave the last slots to fresh ones

Cause: after a restart of all machines the targets are cold and the fleet has more to do than it can. Now a request that will be late leaves 15 % of a target's slots free and does not wait.

--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -317,10 +317,24 @@
 func (c *call) policy() bfhost.Policy {
 	return bfhost.Policy{
 		Class: c.route.Name(), Service: c.service, Rank: c.route.Rank(), Nested: c.parent != nil, Repeat: c.repeat(),
-		Repeatable: c.route.Kind().Repeatable(), Patience: c.patience(),
+		Repeatable: c.route.Kind().Repeatable(), Late: c.late(), Patience: c.patience(),
 	}
 }
 
+// freshShare is the part of its objective up to which a request counts as fresh,
+// however long its route takes: where targets are so slow that none is in time,
+// none has to make room for another.
+const freshShare = 0.3
+
+// late reports whether the request is expected to miss its objective by the time
+// that has passed. A nested call is not: what counts is the request it is nested in.
+func (c *call) late() bool {
+	elapsed := c.handler.parts.Timer.Now().Sub(c.arrived) + c.used
+	usual := time.Duration(c.handler.times.of(c.route.Name()))
+	objective := c.route.Objective()
+	return c.parent == nil && float64(elapsed) > freshShare*float64(objective) && elapsed+usual > objective
+}
+
 const (
 	// nestedPatience is the part of its objective for which a nested call waits
 	// for a slot: its parent holds one elsewhere all the while.
--- a/lib/bfhost/hop.go
+++ b/lib/bfhost/hop.go
@@ -15,8 +15,8 @@
 
 // WritePolicy puts the policy into the header of a request between nodes.
 func WritePolicy(h http.Header, p Policy) {
-	h[policyHeader] = []string{fmt.Sprintf("%s %d %s %s %s %d %s", p.Service, p.Rank, flag(p.Nested, flagNested),
-		flag(p.Repeatable, flagRepeatable), flag(p.Repeat, flagRepeat), p.Patience.Milliseconds(), p.Class)}
+	h[policyHeader] = []string{fmt.Sprintf("%s %d %s %s %s %s %d %s", p.Service, p.Rank, flag(p.Nested, flagNested),
+		flag(p.Repeatable, flagRepeatable), flag(p.Repeat, flagRepeat), flag(p.Late, flagLate), p.Patience.Milliseconds(), p.Class)}
 }
 
 // Words of a written policy.
@@ -24,6 +24,7 @@
 	flagNested     = "nested"
 	flagRepeatable = "repeatable"
 	flagRepeat     = "repeat"
+	flagLate       = "late"
 )
 
 func flag(set bool, name string) string {
@@ -40,7 +41,7 @@
 func (e *PolicyError) Error() string { return fmt.Sprintf("unreadable policy %q", e.Text) }
 
 // policyFields is the number of fields of a written policy.
-const policyFields = 7
+const policyFields = 8
 
 // ReadPolicy reads what WritePolicy wrote.
 func ReadPolicy(h http.Header) (Policy, error) {
@@ -53,13 +54,14 @@
 	if err != nil {
 		return Policy{}, &PolicyError{text}
 	}
-	patience, err := strconv.Atoi(fields[5])
+	patience, err := strconv.Atoi(fields[6])
 	if err != nil {
 		return Policy{}, &PolicyError{text}
 	}
 	return Policy{
 		Service: fields[0], Rank: rank, Nested: fields[2] == flagNested, Repeatable: fields[3] == flagRepeatable,
-		Repeat: fields[4] == flagRepeat, Patience: time.Duration(patience) * time.Millisecond, Class: fields[6],
+		Repeat: fields[4] == flagRepeat, Late: fields[5] == flagLate,
+		Patience: time.Duration(patience) * time.Millisecond, Class: fields[7],
 	}, nil
 }
 
--- a/lib/bfhost/host.go
+++ b/lib/bfhost/host.go
@@ -120,7 +120,7 @@
 	}
 	came := h.parts.Timer.Now()
 	slot, err := h.gate.Acquire(ctx, bfslot.Request{
-		Class: job.Policy.Class, Nested: job.Policy.Nested, Rank: job.Policy.Rank, Patience: job.Policy.Patience,
+		Class: job.Policy.Class, Nested: job.Policy.Nested, Late: job.Policy.Late, Rank: job.Policy.Rank, Patience: job.Policy.Patience,
 	})
 	var full *bfslot.FullError
 	switch {
--- a/lib/bfhost/host_test.go
+++ b/lib/bfhost/host_test.go
@@ -294,13 +294,13 @@
 
 func TestPolicyAndResultsBetweenNodes(t *testing.T) {
 	is := is.New(t)
-	p := Policy{Service: "portal", Class: "r-1 x", Rank: 3, Nested: true, Repeat: true, Repeatable: true, Patience: 40 * time.Millisecond}
+	p := Policy{Service: "portal", Class: "r-1 x", Rank: 3, Nested: true, Repeat: true, Repeatable: true, Late: true, Patience: 40 * time.Millisecond}
 	h := http.Header{}
 	WritePolicy(h, p)
 	read, err := ReadPolicy(h)
 	is.NoErr(err)
 	is.Equal(read, p)
-	for _, text := range []string{"", "portal x - - - 0 r", "portal 1 - - - x r", "a b"} {
+	for _, text := range []string{"", "portal x - - - - 0 r", "portal 1 - - - - x r", "portal 1 - - - 0 r", "a b"} {
 		_, err := ReadPolicy(http.Header{policyHeader: {text}})
 		is.True(err != nil) // text
 	}
--- a/lib/bfhost/job.go
+++ b/lib/bfhost/job.go
@@ -31,6 +31,8 @@
 	Repeat bool
 	// Repeatable requests may run more than once.
 	Repeatable bool
+	// Late says that the request is expected to miss its objective wherever it runs.
+	Late bool
 	// Patience is how long the request may wait for a slot.
 	Patience time.Duration
 }
--- a/lib/bfslot/gate.go
+++ b/lib/bfslot/gate.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -19,6 +20,8 @@
 	Nested bool
 	// Rank orders requests that wait; 0 goes first.
 	Rank int
+	// Late says that the request is expected to miss its objective.
+	Late bool
 	// Patience is how long the request may wait for a slot.
 	Patience time.Duration
 }
@@ -116,11 +119,11 @@
 func (g *Gate) enter(request Request) (*waiter, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.used < g.slots {
+	if g.used < g.slots-g.reserve(request) {
 		g.used++
 		return nil, nil
 	}
-	if request.Patience <= 0 || g.slots == 0 {
+	if request.Patience <= 0 || request.Late || g.slots == 0 {
 		return nil, &FullError{RetryAfter: g.nextFree()}
 	}
 	g.arrived++
@@ -130,6 +133,20 @@
 	return w, nil
 }
 
+// lateReserve is the part of the slots that late requests leave free. In a fleet
+// that has more to do than it can, they take each slot that comes free as often as
+// fresh ones do, and make those late in turn; the fleet stays late for as long as
+// callers go on asking.
+const lateReserve = 0.15
+
+// reserve is how many slots the request leaves free.
+func (g *Gate) reserve(request Request) int {
+	if !request.Late {
+		return 0
+	}
+	return int(math.Ceil(lateReserve * float64(g.slots)))
+}
+
 // order puts nested calls first, then higher ranks. Among equal ranks the one that
 // is expected to hold a slot for the shortest time goes first: where not all can
 // be served, most are so.
--- a/lib/bfslot/gate_test.go
+++ b/lib/bfslot/gate_test.go
@@ -124,3 +124,25 @@
 		}
 	})
 }
+
+// A fleet has more to do than it can. Requests that will be late anyway leave the
+// last slots to fresh ones, whose callers are still served in time; they don't wait
+// for a slot either. While there is room they run.
+func TestLateRequestsLeaveSlotsFree(t *testing.T) {
+	under(t, 8, func(is *is.I, g *Gate, _ *bfgroup.Group) {
+		ctx := context.Background()
+		var full *FullError
+		for range 6 {
+			_, err := g.Acquire(ctx, Request{Late: true})
+			is.NoErr(err)
+		}
+		_, err := g.Acquire(ctx, Request{Late: true, Patience: time.Second})
+		is.True(errors.As(err, &full))
+		for range 2 {
+			_, err = g.Acquire(ctx, Request{})
+			is.NoErr(err)
+		}
+		_, err = g.Acquire(ctx, Request{})
+		is.True(errors.As(err, &full))
+	})
+}
