Long answers: first come first served on slow links, and sent where the link is free

Cause: downloads of 90 kB over 5 Mbit/s. Now the download that began first goes first, all counted traffic together takes 0.9 of the link, a node tells its backlog with each answer, and refuses a download that would wait for 0.4 of its objective. A node that can't read another's policy refuses in a form that is not taken for the target's answer: a rolling upgrade would have shown callers its 400.

--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -190,7 +190,8 @@
 	return bffleet.Demand{
 		Usual:   usual,
 		Service: c.service, Bytes: int(c.handler.bytes.of(name)),
-		Haste: float64(usual) / float64(max(c.route.Objective(), 1)),
+		Haste:     float64(usual) / float64(max(c.route.Objective(), 1)),
+		Objective: c.route.Objective(),
 	}
 }
 
@@ -318,9 +319,21 @@
 	return bfhost.Policy{
 		Class: c.route.Name(), Service: c.service, Rank: c.route.Rank(), Nested: c.parent != nil, Repeat: c.repeat(),
 		Repeatable: c.route.Kind().Repeatable(), Late: c.late(), Patience: c.patience(),
+		LinkPatience: c.linkPatience(),
 	}
 }
 
+// linkShare is the part of its objective for which a long answer may wait for the
+// link of its target's node while there are others to ask.
+const linkShare = 0.4
+
+func (c *call) linkPatience() time.Duration {
+	if c.last || c.route.Kind() != bftraffic.Download {
+		return 0
+	}
+	return time.Duration(linkShare * float64(c.route.Objective()))
+}
+
 // freshShare is the part of its objective up to which a request counts as fresh,
 // however long its route takes: where targets are so slow that none is in time,
 // none has to make room for another.
--- a/lib/bfentry/handler.go
+++ b/lib/bfentry/handler.go
@@ -129,7 +129,8 @@
 		h.reportLate(c, end.Answer)
 		h.bytes.learn(c.route.Name(), int64(len(c.request.Head)+len(end.Answer.Head)))
 		bfheader.Strip(end.Answer.Header)
-		bfhost.Relay(w, r, end.Answer, h.parts.Pacer)
+		// Callers of the machine do not share its link, so nothing is paced for them.
+		bfhost.Relay(w, r, end.Answer, nil)
 	case bfhost.Refused:
 		h.report(bflog.RequestRefused, c, slog.String("reason", string(end.Reason)), slog.Duration("come_back", end.RetryAfter))
 		refuse(w, end.RetryAfter)
--- a/lib/bfentry/remote.go
+++ b/lib/bfentry/remote.go
@@ -21,6 +21,7 @@
 	request.Header = c.request.Header.Clone()
 	request.Header[parts.Names.Deadline] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
 	bfhost.WritePolicy(request.Header, c.policy())
+	parts.Pacer.Charge(len(request.Head))
 	from, err := parts.Client.Send(ctx, target.Member().Inbound, &request)
 	var notSent *bfexchange.NotSentError
 	switch {
@@ -39,6 +40,7 @@
 	now := c.handler.parts.Timer.Now()
 	if used, slots, told := bfhost.ReadLoad(from.Header()); told {
 		target.Told(used, slots, now)
+		target.ToldBacklog(bfhost.ReadBacklog(from.Header()), now)
 	}
 	if result, ok := bfhost.ReadResult(from.Header()); ok {
 		drain(from)
--- a/lib/bffleet/fleet.go
+++ b/lib/bffleet/fleet.go
@@ -140,6 +140,12 @@
 	// another domain is not asked again. Of about ten slots one or two are free by
 	// then, and its own domain is nearer to them.
 	fullShare = 0.25
+	// longAnswer is the number of bytes from which an answer waits for its node's link.
+	longAnswer = 16 << 10
+	// waitCost is the load that a target counts for where a long answer waits for
+	// its node's link for a whole objective: more than the bytes to another domain
+	// cost a download of 90 kB, so that it goes there before it is late.
+	waitCost = 8
 	// failingCost is the load that a target counts for that fails every request.
 	failingCost = 2.0
 	// lateCost is the load that a target counts for where a request is expected to
@@ -178,6 +184,8 @@
 	Haste float64
 	// Usual is how long a request of its route takes in the mean.
 	Usual time.Duration
+	// Objective is the time in which the request should be answered.
+	Objective time.Duration
 }
 
 // Pick chooses the target of the next sending among those that were not tried.
@@ -217,6 +225,9 @@
 	if t.member.Domain != place.Domain && !unknown {
 		cost += otherDomain + float64(demand.Bytes)/bytesOfLoad
 	}
+	if demand.Bytes >= longAnswer && t.member.Inbound != place.Inbound {
+		cost += waitCost * float64(t.linkWait(now)) / float64(max(demand.Objective, 1))
+	}
 	if t.member.Inbound != place.Inbound && place.LinkBytes > 0 {
 		cost += linkCost * float64(demand.Bytes) / place.LinkBytes
 	}
--- a/lib/bffleet/fleet_test.go
+++ b/lib/bffleet/fleet_test.go
@@ -151,3 +151,24 @@
 	is.Equal(f.Pick(download, start, nil).Target(), own)
 	is.Equal(f.Pick(Demand{Service: "portal", Bytes: 500}, start, nil).Target(), other)
 }
+
+// The links of the own domain's nodes are taken up by long answers. A download is
+// sent to another domain before it waits for its whole objective; a short answer,
+// which passes the long ones, stays at home; and the wait shrinks as the links
+// drain, whether or not anything is heard of it.
+func TestDownloadsGoWhereTheLinkIsFree(t *testing.T) {
+	is := is.New(t)
+	f := New(Place{Inbound: "10.0.0.9:1", Domain: "nord"})
+	f.Replace([]Member{member(1, "nord"), member(2, "sued")})
+	near := f.view.Load().members["10.0.0.1:1"]
+	far := f.view.Load().members["10.0.0.2:1"]
+	near.Told(0, 10, start)
+	far.Told(0, 10, start)
+	near.ToldBacklog(900*time.Millisecond, start)
+	download := Demand{Service: "portal", Bytes: 90_000, Objective: time.Second}
+	is.Equal(f.Pick(download, start, nil).Target(), far)
+	is.Equal(f.Pick(Demand{Service: "portal", Bytes: 500, Objective: time.Second}, start, nil).Target(), near)
+	is.Equal(f.Pick(download, start.Add(700*time.Millisecond), nil).Target(), near)
+	near.ToldBacklog(0, start)
+	is.Equal(f.Pick(download, start, nil).Target(), near)
+}
--- a/lib/bffleet/target.go
+++ b/lib/bffleet/target.go
@@ -14,6 +14,8 @@
 	inFlight atomic.Int32
 	// told is the load that its node last told.
 	told atomic.Pointer[toldLoad]
+	// backlog is how busy its node's link was when it last told.
+	backlog atomic.Pointer[toldBacklog]
 	// away is how the target is set aside, nil while it takes work.
 	away atomic.Pointer[absence]
 	// failing is the share of recent answers that were failures, in 1/65536.
@@ -37,6 +39,29 @@
 	when time.Time
 }
 
+// toldBacklog is how long a node's link takes for its long answers, at one moment.
+type toldBacklog struct {
+	length time.Duration
+	when   time.Time
+}
+
+// ToldBacklog takes the backlog of the node's link that came with an answer.
+func (t *Target) ToldBacklog(length time.Duration, now time.Time) {
+	if length > 0 || t.backlog.Load() != nil {
+		t.backlog.Store(&toldBacklog{length, now})
+	}
+}
+
+// linkWait is how long a long answer is expected to wait for the node's link, by
+// what was told and has drained since.
+func (t *Target) linkWait(now time.Time) time.Duration {
+	told := t.backlog.Load()
+	if told == nil {
+		return 0
+	}
+	return max(told.length-now.Sub(told.when), 0)
+}
+
 // absence is a time during which a target gets no requests.
 type absence struct {
 	until  time.Time
--- a/lib/bfheader/header.go
+++ b/lib/bfheader/header.go
@@ -37,6 +37,8 @@
 	Policy = "Bilberry-Policy"
 	// Load is the target node's load as of its answer.
 	Load = "Bilberry-Load"
+	// Backlog is how many milliseconds the node's link takes for the long answers in progress.
+	Backlog = "Bilberry-Backlog"
 	// Spent is how the time at the target's node was spent.
 	Spent = "Bilberry-Spent"
 	// Resent marks a copy that a node above sent as a retry.
--- a/lib/bfhost/hop.go
+++ b/lib/bfhost/hop.go
@@ -15,8 +15,9 @@
 
 // WritePolicy puts the policy into the header of a request between nodes.
 func WritePolicy(h http.Header, p Policy) {
-	h[policyHeader] = []string{fmt.Sprintf("%s %d %s %s %s %s %d %s", p.Service, p.Rank, flag(p.Nested, flagNested),
-		flag(p.Repeatable, flagRepeatable), flag(p.Repeat, flagRepeat), flag(p.Late, flagLate), p.Patience.Milliseconds(), p.Class)}
+	h[policyHeader] = []string{fmt.Sprintf("%s %d %s %s %s %s %d %d %s", p.Service, p.Rank, flag(p.Nested, flagNested),
+		flag(p.Repeatable, flagRepeatable), flag(p.Repeat, flagRepeat), flag(p.Late, flagLate),
+		p.Patience.Milliseconds(), p.LinkPatience.Milliseconds(), p.Class)}
 }
 
 // Words of a written policy.
@@ -41,7 +42,7 @@
 func (e *PolicyError) Error() string { return fmt.Sprintf("unreadable policy %q", e.Text) }
 
 // policyFields is the number of fields of a written policy.
-const policyFields = 8
+const policyFields = 9
 
 // ReadPolicy reads what WritePolicy wrote.
 func ReadPolicy(h http.Header) (Policy, error) {
@@ -58,10 +59,15 @@
 	if err != nil {
 		return Policy{}, &PolicyError{text}
 	}
+	linkPatience, err := strconv.Atoi(fields[7])
+	if err != nil {
+		return Policy{}, &PolicyError{text}
+	}
 	return Policy{
 		Service: fields[0], Rank: rank, Nested: fields[2] == flagNested, Repeatable: fields[3] == flagRepeatable,
 		Repeat: fields[4] == flagRepeat, Late: fields[5] == flagLate,
-		Patience: time.Duration(patience) * time.Millisecond, Class: fields[7],
+		Patience: time.Duration(patience) * time.Millisecond, LinkPatience: time.Duration(linkPatience) * time.Millisecond,
+		Class: fields[8],
 	}, nil
 }
 
@@ -78,6 +84,23 @@
 	return used, slots, found && errUsed == nil && errSlots == nil
 }
 
+// WriteBacklog tells another node how long this one's link takes for the long
+// answers in progress.
+func WriteBacklog(h http.Header, backlog time.Duration) {
+	if backlog > 0 {
+		h[bfheader.Backlog] = []string{strconv.FormatInt(backlog.Milliseconds(), 10)}
+	}
+}
+
+// ReadBacklog reads what WriteBacklog wrote, 0 where nothing was.
+func ReadBacklog(h http.Header) time.Duration {
+	backlog, err := strconv.ParseInt(h.Get(bfheader.Backlog), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(backlog) * time.Millisecond
+}
+
 // WriteSpent puts the time spent at a target's node into the header of an answer between nodes.
 func WriteSpent(h http.Header, s Spent) {
 	h[bfheader.Spent] = []string{strconv.FormatInt(s.Wait.Microseconds(), 10) + "/" + strconv.FormatInt(s.Run.Microseconds(), 10)}
--- a/lib/bfhost/host_test.go
+++ b/lib/bfhost/host_test.go
@@ -294,13 +294,14 @@
 
 func TestPolicyAndResultsBetweenNodes(t *testing.T) {
 	is := is.New(t)
-	p := Policy{Service: "portal", Class: "r-1 x", Rank: 3, Nested: true, Repeat: true, Repeatable: true, Late: true, Patience: 40 * time.Millisecond}
+	p := Policy{Service: "portal", Class: "r-1 x", Rank: 3, Nested: true, Repeat: true, Repeatable: true, Late: true,
+		Patience: 40 * time.Millisecond, LinkPatience: 300 * time.Millisecond}
 	h := http.Header{}
 	WritePolicy(h, p)
 	read, err := ReadPolicy(h)
 	is.NoErr(err)
 	is.Equal(read, p)
-	for _, text := range []string{"", "portal x - - - - 0 r", "portal 1 - - - - x r", "portal 1 - - - 0 r", "a b"} {
+	for _, text := range []string{"", "portal x - - - - 0 0 r", "portal 1 - - - - x 0 r", "portal 1 - - - - 0 x r", "portal 1 - - - 0 r", "a b"} {
 		_, err := ReadPolicy(http.Header{policyHeader: {text}})
 		is.True(err != nil) // text
 	}
@@ -349,5 +350,9 @@
 	answer, err = client.Send(context.Background(), strings.TrimPrefix(inbound.URL, "http://"), request)
 	r.NoErr(err)
 	r.Equal(answer.Status(), http.StatusBadRequest)
+	// A node of another version must not take it for the target's answer.
+	result, ok := ReadResult(answer.Header())
+	r.True(ok)
+	r.Equal(result, Refused{Reason: Unreadable})
 	answer.Close()
 }
--- a/lib/bfhost/inbound.go
+++ b/lib/bfhost/inbound.go
@@ -27,12 +27,17 @@
 	defer i.host.running.Add(-1)
 	job, err := i.read(r)
 	if err != nil {
+		// Nodes of two versions may not read each other's policies. Without the
+		// outcome the entry would take this for the target's own answer.
+		w.Header().Set(bfheader.Outcome, outcomeRefused)
+		w.Header().Set(bfheader.Reason, string(Unreadable))
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	result := i.host.Run(r.Context(), job)
+	result := i.run(r.Context(), job)
 	used, slots := i.host.Load()
 	WriteLoad(w.Header(), used, slots)
+	WriteBacklog(w.Header(), i.pacer.Backlog())
 	if i.host.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
@@ -47,6 +52,16 @@
 	Relay(w, r, answered.Answer, i.pacer)
 }
 
+// run hands the job to the target, unless its answer would wait too long for the
+// link: another node's link is free sooner.
+func (i *Inbound) run(ctx context.Context, job Job) Result {
+	backlog := i.pacer.Backlog()
+	if most := job.Policy.LinkPatience; most > 0 && backlog > most {
+		return Refused{Reason: Full, RetryAfter: backlog - most}
+	}
+	return i.host.Run(ctx, job)
+}
+
 // read makes the job of a request between nodes.
 func (i *Inbound) read(r *http.Request) (Job, error) {
 	names := i.host.parts.Names
@@ -111,7 +126,11 @@
 	w.WriteHeader(answer.Status)
 	var to io.Writer = writerOnly{w}
 	if pacer.paces(answer.Length) {
-		to = pacedWriter{to, r.Context(), pacer}
+		paced := pacer.begin(answer.Length)
+		defer paced.end()
+		to = pacedWriter{to, r.Context(), paced}
+	} else {
+		pacer.Charge(int(max(answer.Length, int64(len(answer.Head)))))
 	}
 	if _, err := to.Write(answer.Head); err != nil || answer.Rest == nil {
 		return
@@ -126,9 +145,9 @@
 
 // pacedWriter writes in pieces as a pacer lets them go.
 type pacedWriter struct {
-	to    io.Writer
-	ctx   context.Context
-	pacer *Pacer
+	to     io.Writer
+	ctx    context.Context
+	answer *pacedAnswer
 }
 
 // Write writes p piece by piece.
@@ -136,7 +155,7 @@
 	written := 0
 	for written < len(p) {
 		piece := p[written:min(len(p), written+pacedPiece)]
-		if err := w.pacer.wait(w.ctx, len(piece)); err != nil {
+		if err := w.answer.wait(w.ctx, len(piece)); err != nil {
 			return written, err
 		}
 		n, err := w.to.Write(piece)
--- a/lib/bfhost/inbound_test.go
+++ b/lib/bfhost/inbound_test.go
@@ -39,3 +39,32 @@
 		r.True(time.Since(began) < time.Second)
 	}
 }
+
+// The node's link is taken up by downloads. Another download is refused, so that
+// its entry asks a node whose link is free; one that has nowhere else to go, and a
+// short answer, are taken.
+func TestBusyLinkRefusesDownloads(t *testing.T) {
+	r := newRig(t, hello)
+	r.beat("a", 1, Ready)
+	pacer := NewPacer(r.host.parts.Timer, 5)
+	busy := pacer.begin(1 << 20)
+	inbound := NewInbound(r.host, pacer)
+	ask := func(patience time.Duration) *httptest.ResponseRecorder {
+		request := httptest.NewRequest(http.MethodGet, "/x", nil)
+		request.Header.Set(names.RequestID, "1")
+		request.Header.Set(names.Deadline, "2000")
+		policy := job("1").Policy
+		policy.LinkPatience = patience
+		WritePolicy(request.Header, policy)
+		answer := httptest.NewRecorder()
+		inbound.ServeHTTP(answer, request)
+		return answer
+	}
+	refused := ask(500 * time.Millisecond)
+	r.Equal(refused.Header().Get(bfheader.Reason), string(Full))
+	r.True(ReadBacklog(refused.Header()) > time.Second)
+	r.Equal(r.runs.Load(), int32(0))
+	r.Equal(ask(0).Code, http.StatusOK)
+	busy.end()
+	r.Equal(ask(500*time.Millisecond).Code, http.StatusOK)
+}
--- a/lib/bfhost/job.go
+++ b/lib/bfhost/job.go
@@ -35,6 +35,9 @@
 	Late bool
 	// Patience is how long the request may wait for a slot.
 	Patience time.Duration
+	// LinkPatience is how long its answer may wait for the link of the target's
+	// node, 0 for as long as it has to.
+	LinkPatience time.Duration
 }
 
 // Result is the sealed set of ends of a job: Refused, Answered, Shed, Lost and Expired.
@@ -53,6 +56,8 @@
 	NoTarget Reason = "no-target"
 	// OtherService means that the node's target is one of another service.
 	OtherService Reason = "other-service"
+	// Unreadable means that the node could not read what another one asked.
+	Unreadable Reason = "unreadable"
 	// Unreached means that no byte reached the target.
 	Unreached Reason = "unreached"
 )
--- a/lib/bfhost/pacer.go
+++ b/lib/bfhost/pacer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,20 +13,42 @@
 //
 // All connections share the link's queue. A download written as fast as its
 // connection takes it puts a window of bytes there, and each short answer behind
-// a few of them comes a tenth of a second late on a slow link. Paced below the
-// link's rate, downloads wait in the process instead, and short answers pass.
+// a few of them comes a tenth of a second late on a slow link. Paced to what the
+// link has left, downloads wait in the process instead, and short answers pass.
+//
+// The download that began first goes first: five at a time, each with a fifth of
+// the link, would all end when the last one of a row ends.
 type Pacer struct {
 	timer *bftimer.Service
 	// rate is in bytes a second; 0 means that nothing is paced.
 	rate float64
 
-	mu   sync.Mutex
+	mu sync.Mutex
+	// free is when the link has taken what was let go.
 	free time.Time
+	// begun counts the answers, backlog the bytes of those in progress.
+	begun   uint64
+	backlog int64
+	// waiting holds the pieces that may not go yet, the answer that began first in front.
+	waiting []*piece
+	// armed says that next is going to be called.
+	armed bool
+}
+
+// piece is a part of an answer that waits for the link.
+type piece struct {
+	answer  *pacedAnswer
+	bytes   int
+	granted chan struct{}
 }
 
 const (
-	// pacedShare is the part of the link that long answers get.
-	pacedShare = 0.8
+	// pacedShare is the part of the link that all traffic together may take; what the
+	// node does not count (connections, other calls) needs the rest.
+	pacedShare = 0.9
+	// headerBytes is what a message takes beside its body: its header's lines and
+	// those of its packets.
+	headerBytes = 500
 	// pacedFrom is the length from which an answer is long.
 	pacedFrom = 16 << 10
 	// pacedPiece is the size of the pieces it is written in: 7 ms at 5 Mbit/s.
@@ -33,6 +56,9 @@
 	// pacedBelow is the bandwidth in Mbit/s below which answers are paced; on a
 	// faster link a download of 90 kB takes 7 ms at most.
 	pacedBelow = 100
+	// pacedLag is how much of the link's time may be made good after a timer that
+	// fired late; more would fill the link's queue at once.
+	pacedLag = 20 * time.Millisecond
 )
 
 // NewPacer makes the pacer of a link of a bandwidth in Mbit/s.
@@ -45,23 +71,143 @@
 	return p
 }
 
+// paces reports whether an answer of that length is paced.
+func (p *Pacer) paces(length int64) bool {
+	return p != nil && p.rate > 0 && (length < 0 || length >= pacedFrom)
+}
+
+// Charge counts a message that goes at once, with a body of a number of bytes, so
+// that long answers leave it its part of the link.
+func (p *Pacer) Charge(body int) {
+	if p == nil || p.rate <= 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.take(body+headerBytes, p.timer.Now())
+}
+
+// take counts bytes that go to the link; it needs the lock.
+func (p *Pacer) take(bytes int, now time.Time) {
+	if late := now.Add(-pacedLag); p.free.Before(late) {
+		p.free = late
+	}
+	p.free = p.free.Add(p.length(int64(bytes)))
+}
+
+// Backlog is how long the link takes for the long answers in progress.
+func (p *Pacer) Backlog() time.Duration {
+	if p == nil || p.rate <= 0 {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.length(p.backlog)
+}
+
+// length is how long the link takes for a number of bytes.
+func (p *Pacer) length(bytes int64) time.Duration {
+	return time.Duration(float64(bytes) / p.rate * float64(time.Second))
+}
+
+// pacedAnswer is one long answer on its way; end must be called.
+type pacedAnswer struct {
+	pacer *Pacer
+	order uint64
+	// left is what the answer still counts for in the backlog.
+	left int64
+}
+
+// begin takes a long answer of a length, negative where it is not known.
+func (p *Pacer) begin(length int64) *pacedAnswer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.begun++
+	a := &pacedAnswer{pacer: p, order: p.begun, left: max(length, 0)}
+	p.backlog += a.left
+	return a
+}
+
+// end takes back what the answer counts for.
+func (a *pacedAnswer) end() {
+	a.pacer.mu.Lock()
+	defer a.pacer.mu.Unlock()
+	a.pacer.backlog -= a.left
+	a.left = 0
+}
+
 // wait waits until a number of bytes may go.
-func (p *Pacer) wait(ctx context.Context, bytes int) error {
+func (a *pacedAnswer) wait(ctx context.Context, bytes int) error {
+	w := a.pacer.enter(a, bytes)
+	if w == nil {
+		return nil
+	}
+	select {
+	case <-w.granted:
+		return nil
+	case <-ctx.Done():
+		a.pacer.leave(w)
+		return ctx.Err()
+	}
+}
+
+// enter lets bytes go, or gives the piece that waits.
+func (p *Pacer) enter(a *pacedAnswer, bytes int) *piece {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	now := p.timer.Now()
-	if p.free.Before(now) {
-		p.free = now
-	}
-	at := p.free
-	p.free = at.Add(time.Duration(float64(bytes) / p.rate * float64(time.Second)))
-	p.mu.Unlock()
-	if !at.After(now) {
+	if len(p.waiting) == 0 && !p.free.After(now) {
+		p.grant(a, bytes, now)
 		return nil
 	}
-	return p.timer.Wait(ctx, at.Sub(now))
+	w := &piece{answer: a, bytes: bytes, granted: make(chan struct{})}
+	at, _ := slices.BinarySearchFunc(p.waiting, w, func(x, y *piece) int {
+		if x.answer.order < y.answer.order {
+			return -1
+		}
+		return 1
+	})
+	p.waiting = slices.Insert(p.waiting, at, w)
+	p.arm(now)
+	return w
 }
 
-// paces reports whether an answer of that length is paced.
-func (p *Pacer) paces(length int64) bool {
-	return p != nil && p.rate > 0 && (length < 0 || length >= pacedFrom)
+// arm has next called once the link is free; it needs the lock.
+func (p *Pacer) arm(now time.Time) {
+	if p.armed || len(p.waiting) == 0 {
+		return
+	}
+	p.armed = true
+	p.timer.After(p.free.Sub(now), p.next)
+}
+
+// next lets the first piece go once the link is free.
+func (p *Pacer) next(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.armed = false
+	if len(p.waiting) > 0 && !p.free.After(now) {
+		first := p.waiting[0]
+		p.waiting = p.waiting[1:]
+		p.grant(first.answer, first.bytes, now)
+		close(first.granted)
+	}
+	p.arm(now)
+}
+
+// grant lets bytes go; it needs the lock.
+func (p *Pacer) grant(a *pacedAnswer, bytes int, now time.Time) {
+	p.take(bytes, now)
+	counted := min(int64(bytes), a.left)
+	a.left -= counted
+	p.backlog -= counted
+}
+
+// leave ends a wait.
+func (p *Pacer) leave(w *piece) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if at := slices.Index(p.waiting, w); at >= 0 {
+		p.waiting = slices.Delete(p.waiting, at, at+1)
+	}
 }
--- /dev/null
+++ b/lib/bfhost/pacer_test.go
@@ -0,0 +1,82 @@
+package bfhost
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bilberryflow.org/lib/bfgroup"
+	"bilberryflow.org/lib/bftimer"
+)
+
+// paceAll has answers of a length begin one after another and gives when each has left.
+func paceAll(t *testing.T, pacer *Pacer, group *bfgroup.Group, answers int, length int) []time.Duration {
+	t.Helper()
+	began := time.Now()
+	ends := make([]time.Duration, answers)
+	var all sync.WaitGroup
+	for i := range answers {
+		all.Add(1)
+		answer := pacer.begin(int64(length))
+		group.Go("answer", func(ctx context.Context) error {
+			defer all.Done()
+			defer answer.end()
+			for sent := 0; sent < length; sent += pacedPiece {
+				if answer.wait(ctx, pacedPiece) != nil {
+					return nil
+				}
+			}
+			ends[i] = time.Since(began)
+			return nil
+		})
+	}
+	all.Wait()
+	return ends
+}
+
+// Five downloads begin at once on a slow link. Each with a fifth of the link, all
+// five would come late; one after another, most of them are in time.
+func TestLongAnswersLeaveInTheirOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		group := bfgroup.New(context.Background())
+		timer := bftimer.New(1)
+		group.Go("timer", timer.Run)
+		const mbps, length = 5, 100 << 10
+		pacer := NewPacer(timer, mbps)
+		each := pacer.length(length)
+		ends := paceAll(t, pacer, group, 5, length)
+		for i, end := range ends {
+			is.True(end <= time.Duration(i+1)*each)        // no more than the link's share
+			is.True(end >= time.Duration(i+1)*each-each/2) // and in the order of their begin
+		}
+		is.Equal(pacer.Backlog(), time.Duration(0))
+		group.Cancel()
+		_ = group.Wait()
+	})
+}
+
+// A caller leaves in the middle of its download. What the download had left no
+// longer counts, or the node would refuse others for a link that is free.
+func TestBacklogForgetsWhatIsNotSent(t *testing.T) {
+	is := is.New(t)
+	pacer := NewPacer(bftimer.New(1), 5)
+	answer := pacer.begin(1 << 20)
+	is.True(pacer.Backlog() > 3*pacer.length(1<<20)/4)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 10 { // more than pacedLag lets go at once
+		if answer.wait(ctx, pacedPiece) != nil {
+			break
+		}
+	}
+	is.True(pacer.Backlog() > 3*pacer.length(1<<20)/4)
+	answer.end()
+	is.Equal(pacer.Backlog(), time.Duration(0))
+	is.Equal(len(pacer.waiting), 0)
+	is.Equal((*Pacer)(nil).Backlog(), time.Duration(0))
+}
