bfctl on the users' platform: in force, members, explain

Cause: on a platform that keeps the configuration the operators' port served metrics only; what is in force where, and why a version was refused, stood in the logs alone. Now bfinspect answers in force, watch, explain //HOST/PATH, show members, targets and nodes by asking the members, and refuses the rest with the reason; bfctl --no-token asks there. Golden file of what an operator sees; TestOperatorAsksOnThePlatform plays it with real processes.

--- a/bfctl/internal/bfcommand/client.go
+++ b/bfctl/internal/bfcommand/client.go
@@ -126,7 +126,9 @@
 	if err != nil {
 		return nil, err
 	}
-	r.Header.Set("Authorization", "Bearer "+c.token)
+	if c.token != "" {
+		r.Header.Set("Authorization", "Bearer "+c.token)
+	}
 	r.Header.Set("Content-Type", "application/json")
 	return c.http.Do(r)
 }
--- a/bfctl/internal/bfcommand/settings.go
+++ b/bfctl/internal/bfcommand/settings.go
@@ -29,8 +29,10 @@
 
 // settings are the client's command line and environment.
 type settings struct {
-	nodes    []string
-	token    string
+	nodes []string
+	token string
+	// open says that the nodes ask for no token.
+	open     bool
 	json     bool
 	timeout  time.Duration
 	roots    *x509.CertPool
@@ -61,6 +63,7 @@
 type arguments struct {
 	nodes     string
 	tokenFile string
+	noToken   bool
 	caFile    string
 	json      bool
 	timeout   time.Duration
@@ -72,7 +75,7 @@
 	if err != nil {
 		return settings{}, err
 	}
-	s := settings{json: a.json, timeout: a.timeout}
+	s := settings{json: a.json, timeout: a.timeout, open: a.noToken}
 	if s.timeout <= 0 {
 		return settings{}, &UsageError{Setting: "--timeout", Reason: "must be above zero"}
 	}
@@ -100,6 +103,7 @@
 	parser.AdditionalHelpAppend = exitCodes
 	parser.String(&a.nodes, "n", "node", "Address of a node's operator port, or several with commas: ADDR[,ADDR...].")
 	parser.String(&a.tokenFile, "t", "token-file", "File with the token; without it BFCTL_TOKEN is taken.")
+	parser.Bool(&a.noToken, "", "no-token", "Send no token: nodes whose configuration the platform keeps ask for none.")
 	parser.String(&a.caFile, "", "ca", "PEM file of the authorities that sign the nodes' certificates; turns on TLS.")
 	parser.Bool(&a.json, "j", "json", "Write one JSON document a line for each result.")
 	parser.Duration(&a.timeout, "", "timeout", "How long to wait for one node's answer.")
@@ -206,8 +210,8 @@
 	if len(s.nodes) == 0 {
 		return &UsageError{Setting: "--node", Reason: "give the address of a node's operator port"}
 	}
-	if s.token == "" {
-		return &UsageError{Setting: "--token-file", Reason: "give it, or set BFCTL_TOKEN"}
+	if s.token == "" && !s.open {
+		return &UsageError{Setting: "--token-file", Reason: "give it, or set BFCTL_TOKEN; or --no-token for nodes that ask for none"}
 	}
 	return nil
 }
--- a/bfnode/internal/bfcommand/settings.go
+++ b/bfnode/internal/bfcommand/settings.go
@@ -105,7 +105,7 @@
 // mesh is the node as bfmesh takes it.
 func (s Settings) mesh() bfmesh.Node {
 	return bfmesh.Node{
-		Instance: s.Instance, FailureDomain: s.FailureDomain, Service: s.Service,
+		Instance: s.Instance, Region: s.Region, FailureDomain: s.FailureDomain, Service: s.Service,
 		Caller: s.Listen.Caller, Inbound: s.Listen.Inbound, Operator: s.Listen.Operator,
 		Target: s.Listen.Target, Peer: s.Listen.Peer, PlatformAddress: s.Platform.Address,
 	}
--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"expvar"
 	"log/slog"
 	"maps"
 	"net"
@@ -18,9 +17,11 @@
 	"bilberryflow.org/lib/bffollow"
 	"bilberryflow.org/lib/bfgroup"
 	"bilberryflow.org/lib/bfhost"
+	"bilberryflow.org/lib/bfinspect"
 	"bilberryflow.org/lib/bflog"
 	"bilberryflow.org/lib/bfmetric"
 	"bilberryflow.org/lib/bfnews"
+	"bilberryflow.org/lib/bfoperator"
 	"bilberryflow.org/lib/bfpeer"
 	"bilberryflow.org/lib/bfpresence"
 	"bilberryflow.org/lib/bfprogram"
@@ -195,7 +196,7 @@
 	}
 	member := bffleet.Member{
 		Inbound: n.common.Inbound, Peer: n.common.Peer, Service: n.common.Service,
-		Domain: n.common.FailureDomain, Slots: target.Slots(), LinkMbps: int(n.settings.LinkMbps),
+		Domain: n.common.FailureDomain, Slots: target.Slots(), LinkMbps: int(n.settings.LinkMbps), Instance: n.common.Instance,
 	}
 	value, err := member.Encode()
 	if err != nil {
@@ -205,6 +206,14 @@
 	n.presence.Want(value)
 }
 
+// inspector answers operators' commands.
+func (n *node) inspector() *bfinspect.Backend {
+	return bfinspect.New(bfinspect.Parts{
+		Self: n.common.Inbound, Region: n.common.Region, Traffic: n.traffic, Fleet: n.fleet,
+		Ask: n.news.VersionAt, Refused: n.state.refused.Load, Timer: n.timer,
+	})
+}
+
 // place is where the node stands in the fleet.
 func place(common Node, settings Mesh) bffleet.Place {
 	return bffleet.Place{Inbound: common.Inbound, Domain: common.FailureDomain, LinkBytes: settings.linkBytes()}
@@ -212,8 +221,6 @@
 
 // listen opens every port before any is served.
 func (n *node) listen() ([]transport.Server, error) {
-	metrics := http.NewServeMux()
-	metrics.Handle("GET /debug/vars", expvar.Handler())
 	ready := http.NewServeMux()
 	ready.Handle("GET "+bfdialect.ReadyPath, &n.ready)
 	ports := []struct {
@@ -223,7 +230,7 @@
 		{"caller", n.common.Caller, n.entry},
 		{"inbound", n.common.Inbound, bfhost.NewInbound(n.host, n.pacer)},
 		{"target", n.common.Target, bfdialect.Reports{Heard: n.host.Heard, Left: n.host.Left}},
-		{"operator", n.common.Operator, metrics},
+		{"operator", n.common.Operator, bfoperator.NewOpen(n.inspector())},
 		{"ready", n.settings.Ready, ready},
 	}
 	var servers []transport.Server
--- a/bfnode/internal/bfmesh/settings.go
+++ b/bfnode/internal/bfmesh/settings.go
@@ -50,7 +50,7 @@
 
 // Node is what such a node takes from the settings that all nodes have.
 type Node struct {
-	Instance, FailureDomain, Service                         string
+	Instance, Region, FailureDomain, Service                 string
 	Caller, Inbound, Operator, Target, Peer, PlatformAddress string
 }
 
--- a/bfnode/internal/bfmesh/state.go
+++ b/bfnode/internal/bfmesh/state.go
@@ -3,9 +3,11 @@
 import (
 	"log/slog"
 	"sync"
+	"sync/atomic"
 
 	"bilberryflow.org/lib/bffleet"
 	"bilberryflow.org/lib/bffollow"
+	"bilberryflow.org/lib/bfinspect"
 	"bilberryflow.org/lib/bflog"
 	"bilberryflow.org/lib/bfnews"
 	"bilberryflow.org/lib/bfpresence"
@@ -30,6 +32,8 @@
 	// whether what is held follows the store in some way.
 	answers, current func() bool
 
+	// refused is the newest version that was refused whole.
+	refused atomic.Pointer[bfinspect.Refusal]
 	// adopted and listed are when the version in force and the members were taken.
 	adopted, listed moment
 
@@ -64,6 +68,7 @@
 	}
 	snapshot, err := held.Next(spec)
 	if err != nil {
+		s.refused.Store(&bfinspect.Refusal{Version: spec.Version, Reason: err.Error()})
 		s.logger.Emit(bflog.VersionRefused, slog.Uint64("version", uint64(spec.Version)), bflog.Err(err))
 		return
 	}
--- a/bftrial/internal/bfsoak/walk_test.go
+++ b/bftrial/internal/bfsoak/walk_test.go
@@ -22,7 +22,7 @@
 func walkWorld(t *testing.T, nodes int) *world {
 	t.Helper()
 	binaries := t.TempDir()
-	for _, program := range []string{"bfnode", "bfplatform"} {
+	for _, program := range []string{"bfnode", "bfplatform", "bfctl"} {
 		build := exec.Command("go", "build", "-o", filepath.Join(binaries, program), "./"+program)
 		build.Dir = filepath.Join("..", "..", "..")
 		if out, err := build.CombinedOutput(); err != nil {
@@ -34,7 +34,7 @@
 		t.Fatal(err)
 	}
 	w := &world{
-		options: Options{Nodes: nodes}, out: io.Discard, fleet: fleet, group: bfgroup.New(context.Background()), ledger: newLedger(),
+		options: Options{Nodes: nodes, Binaries: binaries}, out: io.Discard, fleet: fleet, group: bfgroup.New(context.Background()), ledger: newLedger(),
 		acked: map[bftraffic.Version]time.Time{}, seen: map[*bffleet.Process]bftraffic.Version{},
 	}
 	t.Cleanup(func() {
@@ -161,3 +161,27 @@
 	}
 	wants(t, lines(t, w, late.id, 4105), `"objective":`, `"slot_wait":`, `"at_target":`, `"version":1`, `"members":1`)
 }
+
+// An operator asks one node by bfctl what is in force everywhere and how a request
+// would be treated, without a token; and is refused what the platform keeps.
+func TestOperatorAsksOnThePlatform(t *testing.T) {
+	w := walkWorld(t, 3)
+	ask := func(command string) string {
+		run := exec.Command(filepath.Join(w.options.Binaries, "bfctl"), "--no-token", "--node", w.nodes[0].process.Settings().Listen.Operator, command)
+		out, err := run.CombinedOutput()
+		if err != nil {
+			t.Logf("%s: %v", command, err)
+		}
+		return string(out)
+	}
+	deadline := time.Now().Add(10 * time.Second)
+	for !strings.Contains(ask("in force everywhere"), "3 nodes in reach; version 1 on 3 nodes") {
+		if time.Now().After(deadline) {
+			t.Fatal(ask("in force everywhere"))
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	wants(t, ask("show members"), w.nodes[2].process.Settings().Instance)
+	wants(t, ask("explain GET //"+host+"/look-vault/1"), "service vault", "idempotent")
+	wants(t, ask("confirm autumn"), "kept by the platform")
+}
--- a/lib/bfbackend/backend.go
+++ b/lib/bfbackend/backend.go
@@ -11,6 +11,7 @@
 	"bilberryflow.org/lib/bflog"
 	"bilberryflow.org/lib/bfpeer"
 	"bilberryflow.org/lib/bfquery"
+	"bilberryflow.org/lib/bfquery/bfsyntax"
 	"bilberryflow.org/lib/bfroster"
 	"bilberryflow.org/lib/bfroute"
 	"bilberryflow.org/lib/bfstore"
@@ -72,8 +73,16 @@
 	return b.clock.WaitUntil(ctx, b.Now().Add(d))
 }
 
-// Started reports whether the node has a version in force.
-func (b *Backend) Started() bool { return b.parts.Control.View() != nil }
+// Refuses reports why the node can't carry out a command, nil where it can.
+func (b *Backend) Refuses(command bfsyntax.Command) error {
+	if bfquery.ReadsState(command) && !b.started() {
+		return &bfquery.NotStartedError{}
+	}
+	return nil
+}
+
+// started reports whether the node has a version in force.
+func (b *Backend) started() bool { return b.parts.Control.View() != nil }
 
 // State is the version that the node holds.
 func (b *Backend) State() *bfconfig.State { return b.parts.Control.State() }
--- a/lib/bfbackend/census.go
+++ b/lib/bfbackend/census.go
@@ -34,7 +34,7 @@
 		return bfcensus.Census{}, err
 	}
 	// Before it has a version in force a node may not have met the fleet.
-	census := bfcensus.Census{Domains: parts.count(tally), Partial: !b.Started()}
+	census := bfcensus.Census{Domains: parts.count(tally), Partial: !b.started()}
 	if scope == (bfsyntax.Everywhere{}) {
 		census.Versions = versionsOf(tally)
 	}
--- a/lib/bffleet/member.go
+++ b/lib/bffleet/member.go
@@ -1,6 +1,8 @@
 package bffleet
 
 import (
+	"cmp"
+
 	"bilberryflow.org/lib/bfcodec"
 )
 
@@ -20,8 +22,14 @@
 	LinkMbps int `cbor:"6,keyasint,omitempty"`
 	// Revision is that of the row in the store; the row itself does not hold it.
 	Revision uint64 `cbor:"7,keyasint,omitempty"`
+	// Instance is the name of the node's instance, for operators.
+	Instance string `cbor:"8,keyasint,omitempty"`
 }
 
+// Name is what operators call the member: its instance, or its address where the
+// row does not tell that.
+func (m Member) Name() string { return cmp.Or(m.Instance, m.Inbound) }
+
 // Encode writes the member as a row's value.
 func (m Member) Encode() ([]byte, error) { return bfcodec.Marshal(m) }
 
--- /dev/null
+++ b/lib/bfinspect/inspect_test.go
@@ -0,0 +1,101 @@
+package bfinspect
+
+import (
+	"context"
+	"errors"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bilberryflow.org/lib/bffleet"
+	"bilberryflow.org/lib/bfgolden"
+	"bilberryflow.org/lib/bfquery"
+	"bilberryflow.org/lib/bfquery/bfgrammar"
+	"bilberryflow.org/lib/bfquery/bfresult"
+	"bilberryflow.org/lib/bfrender"
+	"bilberryflow.org/lib/bftimer"
+	"bilberryflow.org/lib/bftraffic"
+)
+
+var errAway = errors.New("no answer")
+
+func newBackend(t *testing.T) *Backend {
+	t.Helper()
+	fleet := bffleet.New(bffleet.Place{Inbound: "10.0.0.1:1", Domain: "nord"})
+	fleet.Replace([]bffleet.Member{
+		{Inbound: "10.0.0.1:1", Peer: "self", Instance: "portal-1", Service: "portal", Domain: "nord", Slots: 12},
+		{Inbound: "10.0.0.2:1", Peer: "behind", Instance: "portal-2", Service: "portal", Domain: "nord", Slots: 12},
+		{Inbound: "10.0.1.1:1", Peer: "away", Instance: "vault-1", Service: "vault", Domain: "sued", Slots: 9},
+	})
+	traffic := bftraffic.NewHolder(nil)
+	snapshot, err := bftraffic.NewSnapshot(bftraffic.Spec{
+		Version: 7, Services: []bftraffic.ServiceSpec{{Name: "portal"}, {Name: "vault"}},
+		Routes: []bftraffic.RouteSpec{{
+			Name: "sheets", Host: "portal.example", Prefix: "/sheets/", Kind: bftraffic.Idempotent, Timeout: 2 * time.Second,
+			Objective: 300 * time.Millisecond, MaxAttempts: 2, Rank: 1,
+			Destinations: []bftraffic.Destination{{Service: "portal", Weight: 9}, {Service: "vault", Weight: 1}},
+		}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	traffic.Adopt(snapshot)
+	return New(Parts{
+		Self: "10.0.0.1:1", Region: "wien", Traffic: traffic, Fleet: fleet, Timer: bftimer.New(1),
+		Refused: func() *Refusal { return &Refusal{Version: 9, Reason: "route x: service gone"} },
+		Ask: func(_ context.Context, peer string) (bftraffic.Version, error) {
+			if peer == "away" {
+				return 0, errAway
+			}
+			return 4, nil
+		},
+	})
+}
+
+// carryOut runs a text of commands and renders what an operator sees.
+func carryOut(t *testing.T, b *Backend, text string) string {
+	t.Helper()
+	var out strings.Builder
+	commands, err := bfgrammar.Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, command := range commands {
+		err := bfquery.Run(context.Background(), bfquery.Call{Command: command}, b, func(result bfresult.Result) error {
+			return bfrender.Text(&out, result)
+		})
+		if err != nil {
+			out.WriteString("error: " + err.Error() + "\n")
+		}
+	}
+	return out.String()
+}
+
+// An operator asks a node what is in force, who is there and what would become of
+// a request; and tries what the platform keeps, which is refused with the reason.
+func TestWhatAnOperatorSees(t *testing.T) {
+	var page strings.Builder
+	b := newBackend(t)
+	for _, text := range []string{
+		"in force everywhere", "in force in domain nord", "in force in domain west", "in force at node portal-2", "in force at node nobody",
+		"show members", "show targets where service = vault", "show nodes where reachable = no",
+		"explain GET //portal.example/sheets/logo", "explain GET //portal.example/other", "explain GET /sheets/logo",
+		"show routes", "show versions", "confirm autumn", "drain portal-1", "history of route sheets",
+	} {
+		page.WriteString("> " + text + "\n" + carryOut(t, b, text) + "\n")
+	}
+	bfgolden.Check(t, filepath.Join("testdata", "operator.txt"), page.String())
+}
+
+// A node has no configuration yet. What it would do with a request is not known;
+// "no route" would be taken for the fleet's answer.
+func TestNodeWithoutConfiguration(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t)
+	b.parts.Traffic = bftraffic.NewHolder(nil)
+	is.True(strings.Contains(carryOut(t, b, "explain GET //portal.example/sheets/logo"), "waits"))
+	is.True(carryOut(t, b, "in force") != "")
+}
--- a/lib/bfnews/news.go
+++ b/lib/bfnews/news.go
@@ -175,6 +175,14 @@
 	return told, true
 }
 
+// VersionAt asks a node for the version in force there.
+func (e *Exchange) VersionAt(ctx context.Context, peer string) (bftraffic.Version, error) {
+	var told reply
+	asked := question{Version: e.state.Version(), Revision: e.state.Revision(), Peer: e.self}
+	err := e.calls.Call(ctx, peer, Method, asked, &told)
+	return told.Version, err
+}
+
 // behind reports whether another node holds something newer.
 func (e *Exchange) behind(version bftraffic.Version, revision uint64) bool {
 	return version > e.state.Version() || revision > e.state.Revision()
--- a/lib/bfoperator/handler.go
+++ b/lib/bfoperator/handler.go
@@ -32,13 +32,18 @@
 	Secret string `json:"secret" jsonschema:"minLength=16,description=What the operator's client sends."`
 }
 
+// anybody is the author where no token is asked for.
+const anybody = "anybody"
+
 // Handler is the operators' port.
 type Handler struct {
 	backend bfquery.Backend
 	// authors maps the hash of a secret to its author: comparing hashes tells
 	// nothing by its time about how much of a guess was right.
 	authors map[[sha256.Size]byte]string
-	mux     *http.ServeMux
+	// open lets everybody in.
+	open bool
+	mux  *http.ServeMux
 }
 
 // New makes the operators' port of a node.
@@ -52,11 +57,22 @@
 	return h
 }
 
+// NewOpen makes the operators' port of a node whose backend changes nothing: like
+// the metrics beside it, it asks for no token.
+func NewOpen(backend bfquery.Backend) *Handler {
+	h := New(backend, nil)
+	h.open = true
+	return h
+}
+
 // ServeHTTP answers one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
 
 // author is whose token the request carries, or why none is.
 func (h *Handler) author(r *http.Request) (author, refusal string) {
+	if h.open {
+		return anybody, ""
+	}
 	secret, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !found || secret == "" {
 		return "", "no token was sent"
--- a/lib/bfquery/backend.go
+++ b/lib/bfquery/backend.go
@@ -19,8 +19,8 @@
 	Now() time.Time
 	// Wait returns after d, or earlier with the context's error.
 	Wait(ctx context.Context, d time.Duration) error
-	// Started reports whether the node has found a version to serve by since its start.
-	Started() bool
+	// Refuses reports why the node can't carry out a command, nil where it can.
+	Refuses(command bfsyntax.Command) error
 	// State is the version that the node holds, an empty one before it has started.
 	State() *bfconfig.State
 
--- a/lib/bfquery/error.go
+++ b/lib/bfquery/error.go
@@ -149,9 +149,15 @@
 	return bfresult.Failure{Kind: kind, Message: err.Error()}
 }
 
+// wrongCommand is an error of a Backend that says the command itself is wrong there.
+type wrongCommand interface {
+	error
+	WrongCommand()
+}
+
 // isInvalid reports whether the command itself was wrong, so that sending it again is of no use.
 func isInvalid(err error) bool {
-	return isA[*bfplan.ExistsError](err) || isA[*NotStagedError](err) || isA[*StagedExistsError](err) ||
+	return isA[wrongCommand](err) || isA[*bfplan.ExistsError](err) || isA[*NotStagedError](err) || isA[*StagedExistsError](err) ||
 		isA[*NoVersionError](err) || isA[*NoInstanceError](err) || isA[*NoMembersError](err) || isA[*ChangedSinceError](err) ||
 		isA[*HistoryGoneError](err) || isA[*NothingToUndoError](err) || isA[*ChangeIDError](err) ||
 		isA[*bfconfig.FieldError](err) || isA[*bfconfig.DanglingError](err) || isA[*bfconfig.MissingError](err) ||
--- a/lib/bfquery/fake_test.go
+++ b/lib/bfquery/fake_test.go
@@ -56,7 +56,12 @@
 	return ctx.Err()
 }
 
-func (f *fakeNode) Started() bool { return !f.waiting }
+func (f *fakeNode) Refuses(command bfsyntax.Command) error {
+	if f.waiting && ReadsState(command) {
+		return &NotStartedError{}
+	}
+	return nil
+}
 
 func (f *fakeNode) State() *bfconfig.State {
 	state := f.states[len(f.states)-1]
--- a/lib/bfquery/run.go
+++ b/lib/bfquery/run.go
@@ -32,8 +32,8 @@
 // An error means that the command was not carried out, or that emit failed; a
 // confirm that was not accepted is an Outcome and no error.
 func Run(ctx context.Context, call Call, backend Backend, emit func(bfresult.Result) error) error {
-	if readsState(call.Command) && !backend.Started() {
-		return &NotStartedError{}
+	if err := backend.Refuses(call.Command); err != nil {
+		return err
 	}
 	r := &run{Call: call, backend: backend, emit: emit}
 	switch command := call.Command.(type) {
@@ -65,12 +65,12 @@
 	return &unexpectedError{what: fmt.Sprintf("command of type %T", call.Command)}
 }
 
-// readsState reports whether the command answers from the node's own version.
+// ReadsState reports whether the command answers from the node's own version.
 //
 // A node that still waits at its start holds none. Its empty list of routes
 // would read as a fleet that lost its configuration, and a change staged there
 // as one made from nothing.
-func readsState(command bfsyntax.Command) bool {
+func ReadsState(command bfsyntax.Command) bool {
 	switch c := command.(type) {
 	case bfsyntax.Stage, bfsyntax.Diff, bfsyntax.Explain, bfsyntax.Undo:
 		return true
--- a/lib/bftraffic/snapshot.go
+++ b/lib/bftraffic/snapshot.go
@@ -223,6 +223,14 @@
 // Urgent reports whether another route of one of its services has a lower rank.
 func (r *Route) Urgent() bool { return r.urgent }
 
+// Services are the route's services with their weights; they are not to be changed.
+func (r *Route) Services() []Destination { return r.spec.Destinations }
+
+// GoesTo reports whether the route sends requests to a service.
+func (r *Route) GoesTo(service string) bool {
+	return slices.ContainsFunc(r.spec.Destinations, func(d Destination) bool { return d.Service == service })
+}
+
 // goldenStep is 2^32 divided by the golden ratio. Its multiples spread over the
 // range more evenly than random numbers, so that shares are exact to about one
 // request in any run of requests.
--- a/lib/bftraffic/spec.go
+++ b/lib/bftraffic/spec.go
@@ -18,6 +18,19 @@
 	Download
 )
 
+// String is the kind in a word.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case NonIdempotent:
+		return "non-idempotent"
+	case Download:
+		return "download"
+	}
+	return "unknown"
+}
+
 // Repeatable reports whether a request of the kind may run more than once.
 func (k Kind) Repeatable() bool { return k == Idempotent || k == Download }
 
