A planned stop keeps the node's row

A restart took the member's row out and put it back; with a slow store its target got no work from others for five seconds of each restart, and the stop itself waited for the store. Ruled out: the start of the process (0.6 s) and the target's heartbeat (0.2 to 0.7 s). Now the row stays; who is refused or reaches nobody looks for the node by connections, as after a crash. The row goes when the target leaves or the machine stays away. TestPlannedStopKeepsTheRow was seen failing.

--- a/bfnode/internal/bfmesh/stop.go
+++ b/bfnode/internal/bfmesh/stop.go
@@ -47,8 +47,7 @@
 	n.entry.Leave()
 	for {
 		passed := n.timer.Now().Sub(began)
-		if passed > leaveAfter && !n.host.Leaving() {
-			n.presence.Want(nil)
+		if passed > leaveAfter {
 			n.host.Leave()
 		}
 		if passed > closeAfter {
