Calls that a silent store forgot are given up soon; versions pass by hints

Ruled out: dropped history (no line 2103), the time to take a version (2 ms). Now a call waits 2 s after a change and doubles to 15 s, with spread; after a failed call it waits 0.5 s; a version that another node has is asked for after 0.3 s, since that costs a delta; and who learns of one from elsewhere hints the domain's readers. TestForgottenCallIsGivenUp, TestDomainWhoseReadersAreForgottenIsHinted and TestStartingNodeWaitsForItsReaders; the second seen failing (2.8 s).

--- a/lib/bffollow/follow.go
+++ b/lib/bffollow/follow.go
@@ -64,10 +64,19 @@
 func (f *Follower) Healthy() bool { return f.healthy.Load() }
 
 const (
-	// waitForChange is how long the store holds a call without news; each costs a
-	// call. A connection that went silent is found by its probes long before, and
-	// one that the store forgot about by what other nodes know.
-	waitForChange = 15 * time.Second
+	// firstWait and lastWait are how long the store holds a call without news: it
+	// doubles from one to the other. A store that falls silent forgets the calls that
+	// come meanwhile, on connections that live: changes are missed until the call is
+	// given up. Most come soon after another one, when the wait is short; one of the
+	// long ones costs a call for every table and node.
+	firstWait = 2 * time.Second
+	lastWait  = 15 * time.Second
+	// returnWait is the wait of calls that follow a failed one. A store that is back
+	// answers it at once, one that is still silent costs no more than this.
+	returnWait = 500 * time.Millisecond
+	// waitShare spreads the waits: nodes that all renewed their calls at one moment
+	// would all lose them in the same silence, and could not tell each other.
+	waitShare = 0.3
 	// firstPause and lastPause bound the pause after a failed call: refused calls
 	// are paid for too, and a store that returns is to be noticed in a second.
 	firstPause = 150 * time.Millisecond
@@ -81,7 +90,7 @@
 func (f *Follower) Run(ctx context.Context) error {
 	start := position{}
 	at := start
-	pause := firstPause
+	pause, wait := firstPause, firstWait
 	for ctx.Err() == nil {
 		if f.due != nil && !f.due() {
 			// What changes meanwhile others tell; the table is listed anew afterwards.
@@ -91,7 +100,7 @@
 			}
 			continue
 		}
-		next, news, err := f.step(ctx, at)
+		next, news, err := f.step(ctx, at, f.timer.Jittered(wait, waitShare)())
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -101,10 +110,13 @@
 			if f.timer.Wait(ctx, f.timer.Jittered(pause, pauseShare)()) != nil {
 				return nil
 			}
-			pause = min(2*pause, lastPause)
+			pause, wait = min(2*pause, lastPause), returnWait
 			continue
 		}
-		pause = firstPause
+		pause, wait = firstPause, min(2*wait, lastWait)
+		if news {
+			wait = firstWait
+		}
 		if news && f.timer.Wait(ctx, f.gather) != nil {
 			return nil
 		}
@@ -118,8 +130,8 @@
 	after  uint64
 }
 
-// step makes one call; news says that something changed.
-func (f *Follower) step(ctx context.Context, at position) (position, bool, error) {
+// step makes one call, held for a time at most; news says that something changed.
+func (f *Follower) step(ctx context.Context, at position, wait time.Duration) (position, bool, error) {
 	f.calls.Add(1)
 	if !at.listed {
 		entries, revision, err := f.rows.List(ctx, f.table)
@@ -130,7 +142,7 @@
 		f.apply(Batch{Whole: true, Entries: entries, Revision: revision})
 		return position{listed: true, after: revision}, false, nil
 	}
-	entries, revision, err := f.rows.Changes(ctx, f.table, at.after, waitForChange)
+	entries, revision, err := f.rows.Changes(ctx, f.table, at.after, wait)
 	var dropped *bfstore.HistoryError
 	switch {
 	case errors.As(err, &dropped):
--- a/lib/bffollow/follow_test.go
+++ b/lib/bffollow/follow_test.go
@@ -19,10 +19,12 @@
 // faulty is a store that can be down.
 type faulty struct {
 	*bfstore.MemoryRows
-	mu    sync.Mutex
-	down  bool
-	calls int
-	lists int
+	mu   sync.Mutex
+	down bool
+	// silent has the calls that begin meanwhile forgotten.
+	silent bool
+	calls  int
+	lists  int
 }
 
 func (f *faulty) setDown(down bool) {
@@ -31,6 +33,18 @@
 	f.down = down
 }
 
+func (f *faulty) setSilent(silent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent = silent
+}
+
+func (f *faulty) isSilent() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.silent
+}
+
 func (f *faulty) count() (calls, lists int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -58,6 +72,11 @@
 }
 
 func (f *faulty) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]bfstore.Entry, uint64, error) {
+	if f.isSilent() {
+		// The caller's own bound ends the call, a second after the wait.
+		time.Sleep(wait + time.Second)
+		return nil, 0, &bfstore.UnavailableError{Reason: "no answer"}
+	}
 	if err := f.call(false); err != nil {
 		return nil, 0, err
 	}
@@ -156,7 +175,7 @@
 		put(is, store, "b", "1", 0)
 		time.Sleep(time.Second)
 		store.setDown(true)
-		time.Sleep(waitForChange + time.Second)
+		time.Sleep(lastWait + time.Second)
 		is.NoErr(store.Remove(context.Background(), "t", "a", revision))
 		store.DropHistory()
 		store.setDown(false)
@@ -173,7 +192,7 @@
 	under(t, func(is *is.I, store *faulty, f *Follower, held func() map[string]string) {
 		time.Sleep(time.Second)
 		store.setDown(true)
-		time.Sleep(waitForChange)
+		time.Sleep(lastWait)
 		before, _ := store.count()
 		time.Sleep(time.Minute)
 		after, _ := store.count()
@@ -186,3 +205,31 @@
 		is.True(f.Healthy())
 	})
 }
+
+// The store falls silent right after a change and forgets the call that comes then,
+// though its connection lives. A version that is written once it answers again must
+// be held within about two seconds, and not when the call would have ended by itself.
+func TestForgottenCallIsGivenUp(t *testing.T) {
+	under(t, func(is *is.I, store *faulty, _ *Follower, held func() map[string]string) {
+		time.Sleep(time.Second)
+		revision := put(is, store, "a", "1", 0)
+		time.Sleep(gather / 2)
+		store.setSilent(true)
+		time.Sleep(5 * time.Second)
+		store.setSilent(false)
+		put(is, store, "a", "2", revision)
+		time.Sleep(2500 * time.Millisecond)
+		is.Equal(held(), map[string]string{"a": "2"})
+	})
+}
+
+// Nothing changes for minutes. The waits grow, so that following costs next to nothing.
+func TestCalmCostsFewCalls(t *testing.T) {
+	under(t, func(is *is.I, store *faulty, _ *Follower, _ func() map[string]string) {
+		time.Sleep(time.Minute)
+		before, _ := store.count()
+		time.Sleep(5 * time.Minute)
+		after, _ := store.count()
+		is.True(after-before <= 28) // a call in 15 s on the mean, spread by 30 %
+	})
+}
--- a/lib/bfnews/news.go
+++ b/lib/bfnews/news.go
@@ -113,10 +113,12 @@
 	// callTimeout bounds one question; a member that does not answer in it is
 	// asked again by chance.
 	callTimeout = time.Second
-	// storeLead is how long a node that the store answers waits for what another
-	// one has already: mostly the store brings it in that time, and a configuration
-	// has tens of kilobytes.
-	storeLead = time.Second
+	// versionLead and storeLead are how long a node that the store answers waits for
+	// what another one has already: mostly the store or a reader brings it in that
+	// time. A version is due everywhere within two seconds and costs a delta; of the
+	// members the whole list is sent, and their refusals tell of those that leave.
+	versionLead = 300 * time.Millisecond
+	storeLead   = time.Second
 )
 
 // Run asks until ctx ends.
@@ -157,21 +159,33 @@
 	if !ok || send || !e.behind(told.Version, told.Revision) {
 		return
 	}
-	if e.timer.Wait(ctx, storeLead) == nil && e.behind(told.Version, told.Revision) {
+	if e.timer.Wait(ctx, e.lead(told.Version)) == nil && e.behind(told.Version, told.Revision) {
 		e.put(ctx, peer, true)
 	}
 }
 
+// lead is how long to wait for what another node has already.
+func (e *Exchange) lead(version bftraffic.Version) time.Duration {
+	if version > e.state.Version() {
+		return versionLead
+	}
+	return storeLead
+}
+
 // put puts one question; ok is false where no answer came, and another node is
 // asked next time.
 func (e *Exchange) put(ctx context.Context, peer string, send bool) (told reply, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	asked := question{Version: e.state.Version(), Revision: e.state.Revision(), Send: send, Peer: e.self}
+	held := e.state.Version()
+	asked := question{Version: held, Revision: e.state.Revision(), Send: send, Peer: e.self}
 	if err := e.calls.Call(ctx, peer, Method, asked, &told); err != nil {
 		return reply{}, false
 	}
 	e.take(told)
+	if e.state.Version() > held {
+		e.hint()
+	}
 	return told, true
 }
 
@@ -222,7 +236,7 @@
 // version while it takes itself for current; where the members it knows are in the
 // same state, only the question of one that it doesn't know shows that.
 func (e *Exchange) askBack(ctx context.Context, asked question) {
-	if e.state.Current() && e.timer.Wait(ctx, storeLead) != nil {
+	if e.state.Current() && e.timer.Wait(ctx, e.lead(asked.Version)) != nil {
 		return
 	}
 	if e.behind(asked.Version, asked.Revision) {
--- a/lib/bfnews/news_test.go
+++ b/lib/bfnews/news_test.go
@@ -325,6 +325,76 @@
 	is.True(!exchanges[chosen[0]].HearsReader())
 }
 
+// The store forgot the calls of a domain's readers: all its members hold an old
+// version and take themselves for current. One of them learns of a newer version
+// from another domain. All must hold it well within the two seconds of a change,
+// and not each when it happens to ask the right node.
+func TestDomainWhoseReadersAreForgottenIsHinted(t *testing.T) {
+	group := bfgroup.New(context.Background())
+	defer group.Cancel()
+	timer := bftimer.New(1)
+	group.Go("timer", timer.Run)
+	states := map[string]*holding{}
+	exchanges := map[string]*Exchange{}
+	var all []bffleet.Member
+	for range smallDomain + 2 {
+		state, address, exchange := startExchange(t, group, timer, true)
+		states[address], exchanges[address] = state, exchange
+		all = append(all, bffleet.Member{Inbound: address, Peer: address, Domain: "nord"})
+	}
+	fresh, freshAddress := start(t, group, timer, true)
+	fresh.TakeSpec(configuration(9, "r", "s"))
+	for address, state := range states {
+		state.TakeRoster(Roster{Revision: 1, Members: all}) // the fresh one is unknown
+		state.TakeSpec(configuration(7, "r"))
+		exchanges[address].Changed()
+	}
+	await(t, "the readers alone read", func() bool {
+		reading := 0
+		for _, e := range exchanges {
+			if e.Reads() {
+				reading++
+			}
+		}
+		return reading == readersPerDomain
+	})
+	chosen := readers("nord", all)
+	at := slices.IndexFunc(all, func(m bffleet.Member) bool { return !slices.Contains(chosen, m.Inbound) })
+	began := time.Now()
+	exchanges[all[at].Inbound].put(context.Background(), freshAddress, true)
+	await(t, "all hold the version", func() bool {
+		for _, state := range states {
+			if state.Version() != 9 {
+				return false
+			}
+		}
+		return true
+	})
+	if took := time.Since(began); took > time.Second {
+		t.Fatalf("it took %v", took)
+	}
+}
+
+// A node of a large domain starts and has read the store once. Its readers are about
+// to tell it of changes, so it does not follow the store too; if none is heard it
+// reads again.
+func TestStartingNodeWaitsForItsReaders(t *testing.T) {
+	is := is.New(t)
+	group := bfgroup.New(context.Background())
+	defer group.Cancel()
+	timer := bftimer.New(1)
+	group.Go("timer", timer.Run)
+	state, address, exchange := startExchange(t, group, timer, true)
+	is.True(exchange.Reads()) // it knows nobody
+	all := members("nord", smallDomain+2)
+	for i := range all {
+		all[i].LinkMbps = 100
+	}
+	state.TakeRoster(Roster{Revision: 1, Members: append(all, bffleet.Member{Inbound: address, Peer: address, Domain: "nord"})})
+	is.True(!exchange.Reads())
+	await(t, "it reads itself", exchange.Reads)
+}
+
 func await(t *testing.T, what string, ok func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(10 * time.Second)
--- a/lib/bfnews/tell.go
+++ b/lib/bfnews/tell.go
@@ -20,14 +20,21 @@
 	Peer     string            `json:"peer"`
 	// Delta is a bftraffic.Delta in CBOR, empty where nothing changed.
 	Delta []byte `json:"delta,omitempty"`
+	// Hint says that the teller is no reader and learned of the version from others.
+	Hint bool `json:"hint,omitempty"`
 }
 
 // Reads reports whether this node is to read the store itself.
+//
+// A node that starts has just read it when it learns who the readers are. They get
+// the time in which one is missed: following the store until the first of them is
+// heard cost two calls a start, a quarter of all calls where many nodes restart.
 func (e *Exchange) Reads() bool {
 	chosen := readers(e.place.Domain, e.fleet.Members())
 	if len(chosen) == 0 || slices.Contains(chosen, e.place.Inbound) {
 		return true
 	}
+	e.told.CompareAndSwap(0, e.timer.Now().UnixNano())
 	return !e.HearsReader()
 }
 
@@ -88,18 +95,38 @@
 
 func (e *Exchange) tell(t tale) {
 	for _, m := range e.fleet.Members() {
-		if m.Domain != e.place.Domain || m.Peer == e.self {
-			continue
+		if m.Domain == e.place.Domain && m.Peer != e.self {
+			e.tellOne(t, m.Peer)
+		}
+	}
+}
+
+func (e *Exchange) tellOne(t tale, peer string) {
+	e.spawn("tell", func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		var nothing struct{}
+		// A member that does not hear it hears the next one, or reads itself.
+		_ = e.calls.Call(ctx, peer, tellMethod, t, &nothing)
+		return nil
+	})
+}
+
+// hint tells the domain's readers of a version that came from elsewhere.
+//
+// A store that forgot the readers' calls leaves a whole domain with an old version:
+// they take themselves for current, and the others hear them. Whoever first learns
+// better asks on behalf of all; each on its own asks once in two seconds.
+func (e *Exchange) hint() {
+	chosen := readers(e.place.Domain, e.fleet.Members())
+	if slices.Contains(chosen, e.place.Inbound) {
+		return
+	}
+	t := tale{Version: e.state.Version(), Revision: e.state.Revision(), Peer: e.self, Hint: true}
+	for _, inbound := range chosen {
+		if reader, found := e.fleet.Member(inbound); found {
+			e.tellOne(t, reader.Peer)
 		}
-		peer := m.Peer
-		e.spawn("tell", func(ctx context.Context) error {
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			var nothing struct{}
-			// A member that does not hear it hears the next one, or reads itself.
-			_ = e.calls.Call(ctx, peer, tellMethod, t, &nothing)
-			return nil
-		})
 	}
 }
 
@@ -109,7 +136,9 @@
 	if err := json.Unmarshal(params, &t); err != nil {
 		return nil, err
 	}
-	e.told.Store(e.timer.Now().UnixNano())
+	if !t.Hint {
+		e.told.Store(e.timer.Now().UnixNano())
+	}
 	e.takeDelta(t.Delta)
 	if e.behind(t.Version, t.Revision) && e.asking.CompareAndSwap(false, true) {
 		e.spawn("ask a reader", func(ctx context.Context) error {
