Targets' nodes tell how the targets fare

Now each answer between nodes brings the target's share of failures and the running time of the request's class, as the node beside it saw them.

--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -303,7 +303,6 @@
 	case bfhost.Answered:
 		target.Judge(failed(end), now)
 		if !failed(end) {
-			target.Took(took, time.Duration(c.handler.times.of(c.route.Name())))
 			c.handler.times.learn(c.route.Name(), took.Nanoseconds())
 		}
 	case bfhost.Expired:
@@ -374,5 +373,18 @@
 	end := c.handler.parts.Host.Run(ctx, bfhost.Job{Request: &request, Deadline: c.deadline, Policy: c.policy()})
 	used, slots := c.handler.parts.Host.Load()
 	target.Told(used, slots, c.handler.parts.Timer.Now())
+	c.follow(target, c.handler.parts.Host.Track(c.route.Name()))
 	return end
 }
+
+// follow takes how a target fares, by its node's word.
+func (c *call) follow(target *bffleet.Target, track bfhost.Track) {
+	slowness := 0.0
+	if track.Running > 0 {
+		if usual := c.handler.running.of(c.route.Name()); usual > 0 {
+			slowness = float64(track.Running) / float64(usual)
+		}
+		c.handler.running.learn(c.route.Name(), track.Running.Nanoseconds())
+	}
+	target.ToldTrack(track.Failing, slowness, c.handler.parts.Timer.Now())
+}
--- a/lib/bfentry/remote.go
+++ b/lib/bfentry/remote.go
@@ -42,6 +42,9 @@
 		target.Told(used, slots, now)
 		target.ToldBacklog(bfhost.ReadBacklog(from.Header()), now)
 	}
+	if track, told := bfhost.ReadTrack(from.Header()); told {
+		c.follow(target, track)
+	}
 	if result, ok := bfhost.ReadResult(from.Header()); ok {
 		drain(from)
 		return result
--- a/lib/bffleet/fleet_test.go
+++ b/lib/bffleet/fleet_test.go
@@ -172,3 +172,36 @@
 	near.ToldBacklog(0, start)
 	is.Equal(f.Pick(download, start, nil).Target(), near)
 }
+
+// A target fails half of its requests, and this node has sent it none. The word of
+// the node beside it is enough to choose another; it counts for less as it ages, so
+// that the target is tried again.
+func TestToldFailuresCount(t *testing.T) {
+	is := is.New(t)
+	f := New(Place{Inbound: "10.0.0.9:1", Domain: "nord"})
+	f.Replace([]Member{member(1, "nord"), member(2, "nord")})
+	f.view.Load().members["10.0.0.1:1"].ToldTrack(0.5, 0, start)
+	is.Equal(picks(f, start, 100)["10.0.0.1:1"], 0)
+	is.True(picks(f, start.Add(15*time.Second), 100)["10.0.0.1:1"] > 20)
+}
+
+// One target takes twice the mean of its service, by its node's word. Requests with
+// little time to spare go to the other one.
+func TestSlowTargetGetsRequestsWithTimeToSpare(t *testing.T) {
+	is := is.New(t)
+	f := New(Place{Inbound: "10.0.0.9:1", Domain: "nord"})
+	f.Replace([]Member{member(1, "nord"), member(2, "nord")})
+	f.view.Load().members["10.0.0.1:1"].ToldTrack(0, 2, start)
+	f.view.Load().members["10.0.0.2:1"].ToldTrack(0, 0.8, start)
+	count := func(haste float64) int {
+		slow := 0
+		for range 100 {
+			if f.Pick(Demand{Service: "portal", Haste: haste}, start, nil).Target().Member().Inbound == "10.0.0.1:1" {
+				slow++
+			}
+		}
+		return slow
+	}
+	is.Equal(count(0.6), 0)
+	is.True(count(0.01) > 20)
+}
--- a/lib/bffleet/target.go
+++ b/lib/bffleet/target.go
@@ -22,6 +22,8 @@
 	failing atomic.Uint32
 	// judged is when the last answer was counted, in nanoseconds since 1970.
 	judged atomic.Int64
+	// track is how the target fares by its node's word.
+	track atomic.Pointer[toldTrack]
 	// slowness is how long the target takes, in 1/65536 of the mean of its service.
 	slowness atomic.Uint32
 	// probing says that the target's node is being looked for, and that no request
@@ -62,6 +64,12 @@
 	return max(told.length-now.Sub(told.when), 0)
 }
 
+// toldTrack is the share of requests that a target fails, as its node told it.
+type toldTrack struct {
+	failing float64
+	when    time.Time
+}
+
 // absence is a time during which a target gets no requests.
 type absence struct {
 	until  time.Time
@@ -155,27 +163,28 @@
 // that is passed over for its failures would else never show that it works again.
 const pardon = 3 * time.Second
 
-// failure is the share of failures that the target is believed to answer with.
+// failure is the share of failures that the target is believed to answer with: what
+// this node saw, connections that broke included, or what the target's node told.
 func (t *Target) failure(now time.Time) float64 {
 	age := now.UnixNano() - t.judged.Load()
-	return float64(t.failing.Load()) / whole * math.Exp(-float64(age)/float64(pardon))
+	seen := float64(t.failing.Load()) / whole * math.Exp(-float64(age)/float64(pardon))
+	told := t.track.Load()
+	if told == nil {
+		return seen
+	}
+	return max(seen, told.failing*math.Exp(-float64(now.Sub(told.when))/float64(pardon)))
 }
 
-// Took counts an answer that came after d, where the mean of all targets is usual.
-func (t *Target) Took(d, usual time.Duration) {
-	if usual <= 0 {
-		return
-	}
-	ratio := min(float64(d)/float64(usual), maxSlowness)
-	before := t.slowness.Load()
-	if before == 0 {
-		t.slowness.CompareAndSwap(0, whole)
-		return
+// ToldTrack takes how the target fares by its node's word: the share of requests
+// that it fails, and its time over the mean of its service, 0 where that is unknown.
+func (t *Target) ToldTrack(failing, slowness float64, now time.Time) {
+	t.track.Store(&toldTrack{failing: failing, when: now})
+	if slowness > 0 {
+		t.slowness.Store(uint32(min(slowness, maxSlowness) * whole))
 	}
-	t.slowness.CompareAndSwap(before, uint32(float64(before)+(ratio*whole-float64(before))/failureWeight))
 }
 
-// maxSlowness bounds what one answer counts: running times have a long tail.
+// maxSlowness bounds what a target's slowness counts.
 const maxSlowness = 4
 
 // slow is the target's time over the mean of its service.
--- a/lib/bfheader/header.go
+++ b/lib/bfheader/header.go
@@ -39,6 +39,8 @@
 	Load = "Bilberry-Load"
 	// Backlog is how many milliseconds the node's link takes for the long answers in progress.
 	Backlog = "Bilberry-Backlog"
+	// Track is how the target has fared lately.
+	Track = "Bilberry-Track"
 	// Spent is how the time at the target's node was spent.
 	Spent = "Bilberry-Spent"
 	// Resent marks a copy that a node above sent as a retry.
--- a/lib/bfhost/host.go
+++ b/lib/bfhost/host.go
@@ -38,6 +38,7 @@
 	// running counts the requests that the target works on, and those of other nodes
 	// whose answers are on their way.
 	running atomic.Int64
+	failing failing
 	// parents holds a Parent for the ID of each request that the target works on.
 	parents sync.Map
 }
@@ -141,6 +142,7 @@
 		h.end(job)
 		slot.Release()
 	})
+	h.failing.judge(end)
 	if answered, ok := end.(Answered); ok {
 		answered.Answer.Spent = Spent{Wait: handed.Sub(came), Run: h.parts.Timer.Now().Sub(handed)}
 	}
--- a/lib/bfhost/inbound.go
+++ b/lib/bfhost/inbound.go
@@ -38,6 +38,7 @@
 	used, slots := i.host.Load()
 	WriteLoad(w.Header(), used, slots)
 	WriteBacklog(w.Header(), i.pacer.Backlog())
+	WriteTrack(w.Header(), i.host.Track(job.Policy.Class))
 	if i.host.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
--- a/lib/bfslot/gate.go
+++ b/lib/bfslot/gate.go
@@ -76,6 +76,13 @@
 	return g.used + len(g.waiting), g.slots
 }
 
+// Running is how long a request of a class holds a slot in the mean, 0 where none has.
+func (g *Gate) Running(class string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.running[class]
+}
+
 // Slot is one request's place at the target; Release gives it back.
 type Slot struct {
 	gate  *Gate
