--- a/lib/bffollow/follow.go
+++ b/lib/bffollow/follow.go
@@ -72,8 +72,8 @@
 	// come meanwhile, on connections that live: changes are missed until the call is
 	// given up. Most come soon after another one, when the wait is short; one of the
 	// long ones costs a call for every table and node.
-	firstWait  = 2 * time.Second
-	waitGrowth = 4
+	firstWait  = 3 * time.Second
+	waitGrowth = 5
 	lastWait   = 15 * time.Second
 	// returnWait is the wait of calls that follow a failed one. A store that is back
 	// answers it at once, one that is still silent costs no more than this.
