--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -189,7 +189,7 @@
 	}
 	n.logger.Emit(bflog.TargetChanged,
 		slog.String("incarnation", target.Incarnation()), slog.Bool("takes_work", target.Takes()),
-		slog.Int("slots", target.Slots()), slog.String("address", target.Address()))
+		slog.Int("slots", target.Slots()), slog.String("address", target.Address()), slog.Duration("warm_up_left", target.WarmUpLeft()))
 	if !target.Takes() || n.ready.leaving.Load() {
 		n.presence.Want(nil)
 		return
--- a/lib/bffleet/fleet.go
+++ b/lib/bffleet/fleet.go
@@ -189,11 +189,29 @@
 }
 
 // Pick chooses the target of the next sending among those that were not tried.
+//
+// A target that is set aside is asked all the same where no other was: an entry that
+// knows one target of a service would else refuse for up to a second and a half
+// without having asked anybody.
 func (f *Fleet) Pick(demand Demand, now time.Time, tried []*Target) Choice {
+	choice := f.pick(demand, now, tried, false)
+	if choice.target == nil && len(tried) == 0 {
+		choice = f.pick(demand, now, tried, true)
+	}
+	if choice.target != nil {
+		choice.target.probed.Store(now.UnixNano())
+	}
+	return choice
+}
+
+func (f *Fleet) pick(demand Demand, now time.Time, tried []*Target, aside bool) Choice {
 	var best Choice
 	bestCost := 0.0
 	for _, t := range f.view.Load().services[demand.Service] {
-		if t.aside(now) || slices.Contains(tried, t) || t.surelyFull(f.place.Domain, demand, now) {
+		if t.probing.Load() || slices.Contains(tried, t) {
+			continue
+		}
+		if !aside && (t.aside(now) || t.surelyFull(f.place.Domain, demand, now)) {
 			continue
 		}
 		cost, full := t.cost(f.place, demand, now)
@@ -201,9 +219,6 @@
 			best, bestCost = Choice{t, full}, cost
 		}
 	}
-	if best.target != nil {
-		best.target.probed.Store(now.UnixNano())
-	}
 	return best
 }
 
--- a/lib/bffleet/target.go
+++ b/lib/bffleet/target.go
@@ -133,10 +133,8 @@
 	t.probing.Store(false)
 }
 
+// aside reports whether the target is passed over for a while.
 func (t *Target) aside(now time.Time) bool {
-	if t.probing.Load() {
-		return true
-	}
 	away := t.away.Load()
 	return away != nil && now.Before(away.until)
 }
--- a/lib/bfhost/heartbeat.go
+++ b/lib/bfhost/heartbeat.go
@@ -53,6 +53,9 @@
 // Slots is how many requests the target works on at once.
 func (t *Target) Slots() int { return t.heartbeat.Slots }
 
+// WarmUpLeft is how much longer the target was slow after its start when it was heard.
+func (t *Target) WarmUpLeft() time.Duration { return t.heartbeat.WarmUpLeft }
+
 // Takes reports whether the target gets new work.
 func (t *Target) Takes() bool { return t.takes }
 
