--- a/lib/bftraffic/traffic_test.go
+++ b/lib/bftraffic/traffic_test.go
@@ -96,6 +96,28 @@
 	is.True(count >= 28 && count <= 32)
 }
 
+// Twelve nodes deal a route's requests, each a few and each on its own. Their shares
+// must add up to the weights: nodes that all began at one place would give their
+// first requests to one service.
+func TestSharesAddUpOverNodes(t *testing.T) {
+	is := is.New(t)
+	const nodes, requests = 12, 25
+	for _, weight := range []int{10, 30, 50} {
+		count := 0
+		for range nodes {
+			s := mustSnapshot(t, spec(1, route("r", "a.example", "/", Destination{"portal", 100 - weight}, Destination{"vault", weight})))
+			for range requests {
+				if s.Match("a.example", "/x").Destination() == "vault" {
+					count++
+				}
+			}
+		}
+		// Each node is off by one request at most, so all of them by one in 25.
+		expected := nodes * requests * weight / 100
+		is.True(count >= expected-nodes && count <= expected+nodes)
+	}
+}
+
 // The store sends version 41 late, after a peer has sent 42. Callers must not be
 // routed by 41 again.
 func TestHolderNeverGoesBack(t *testing.T) {
