--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -58,27 +57,6 @@
 	return end
 }
 
-// remember notes a request that was not served, for when its caller comes back.
-func (c *call) remember(end bfhost.Result) {
-	if c.parent != nil {
-		return
-	}
-	now := c.handler.parts.Timer.Now()
-	due := now
-	switch end := end.(type) {
-	case bfhost.Answered:
-		if !failed(end) {
-			return
-		}
-	case bfhost.Refused:
-		due = now.Add(end.RetryAfter)
-	case bfhost.Shed:
-		due = now.Add(end.RetryAfter)
-	case bfhost.Lost, bfhost.Expired:
-	}
-	c.handler.attempts.note(c.route.Name(), attempt{began: c.arrived.Add(-c.used), due: due, deadline: c.callerDeadline}, now)
-}
-
 // send sends the request until nothing more may be done for it.
 func (c *call) send(ctx context.Context) bfhost.Result {
 	refusal := bfhost.Refused{Reason: bfhost.NoTarget, RetryAfter: startingPause}
@@ -111,19 +89,6 @@
 	}
 }
 
-// askShare is the part of its objective for which a request goes from one full
-// target to the next. One that walked on through dozens of them got its slot after
-// 1.5 s of an objective of 0.8 s: it held a slot that a fresh request would have
-// had in time, and many such kept a fleet of 54 targets late after its restart.
-const askShare = 0.1
-
-// askedLong reports whether the request has gone from one full target to the next
-// for as long as it may. A nested call goes on: its parent holds a slot meanwhile.
-func (c *call) askedLong(now time.Time, refusal bfhost.Refused) bool {
-	return c.parent == nil && !c.last && refusal.Reason == bfhost.Full &&
-		float64(now.Sub(c.arrived)) > askShare*float64(c.route.Objective())
-}
-
 // goesOn reports whether the request is sent once more after a sending that a
 // target may have seen, and keeps what that sending showed.
 func (c *call) goesOn(ctx context.Context, end bfhost.Result) bool {
@@ -195,55 +160,6 @@
 	}
 }
 
-// waits reports whether the request may wait for a slot. Where all targets are
-// full the others are refused at once: those that waited would be late, and the
-// slots that they then take others would have had in time. A download waits at
-// the node's own failure domain, since its bytes cost much on the way to another.
-func (c *call) waits() bool {
-	return c.route.Urgent() || c.route.Kind() == bftraffic.Download
-}
-
-// worst is the refusal that says most: a full target was there at least.
-func worst(a, b bfhost.Refused) bfhost.Refused {
-	if a.Reason == bfhost.Full {
-		return a
-	}
-	return b
-}
-
-// refused is the end of a request that no target is left for.
-func (c *call) refused(refusal bfhost.Refused) bfhost.Result {
-	refusal.RetryAfter = max(c.comeBack(), refusal.RetryAfter)
-	return refusal
-}
-
-const (
-	// comeBackShare and comeBackSpread place the time to come back within the
-	// objective: early enough that the request can still be served in it, and
-	// spread so that those refused together do not come back together.
-	comeBackShare  = 0.15
-	comeBackSpread = 0.25
-	// returnedShare is the part of its objective after which a request counts as
-	// one that has come back; less is the way from the caller.
-	returnedShare = 0.1
-	// lateShare and lateSpread place it within the time that is left, for a request
-	// that has come back already. Where it would be refused a third time at once, it
-	// is served late once the burst has passed; callers wait for a third of what they
-	// have left at most.
-	lateShare  = 0.2
-	lateSpread = 0.13
-)
-
-// comeBack is when a refused caller is told to come back.
-func (c *call) comeBack() time.Duration {
-	objective := c.route.Objective()
-	if float64(c.used) < returnedShare*float64(objective) {
-		return time.Duration(float64(objective) * (comeBackShare + comeBackSpread*rand.Float64()))
-	}
-	left := c.callerDeadline.Sub(c.handler.parts.Timer.Now())
-	return time.Duration(float64(left) * (lateShare + lateSpread*rand.Float64()))
-}
-
 func failed(end bfhost.Answered) bool { return end.Answer.Status >= http.StatusInternalServerError }
 
 // lastNode is the node that was asked last, "" before the first.
@@ -311,71 +227,6 @@
 	target.Present()
 }
 
-// repeat reports whether this sending would not be there without an earlier one.
-func (c *call) repeat() bool { return c.sent > 0 || c.parent != nil && c.parent.Repeat }
-
-func (c *call) policy() bfhost.Policy {
-	return bfhost.Policy{
-		Class: c.route.Name(), Service: c.service, Rank: c.route.Rank(), Nested: c.parent != nil, Repeat: c.repeat(),
-		Repeatable: c.route.Kind().Repeatable(), Late: c.late(), Patience: c.patience(),
-		LinkPatience: c.linkPatience(),
-	}
-}
-
-const (
-	// linkShare is the part of its objective for which a long answer may wait for the
-	// link of its target's node while there are others to ask.
-	linkShare = 0.4
-	// lastLinkShare is the part of the time left for which it may wait at the last one.
-	// A download that is run and then waits for longer is cut by its deadline, and the
-	// link has carried a part of it for nothing.
-	lastLinkShare = 0.7
-)
-
-func (c *call) linkPatience() time.Duration {
-	if c.route.Kind() != bftraffic.Download {
-		return 0
-	}
-	if c.last {
-		left := c.deadline.Sub(c.handler.parts.Timer.Now())
-		return max(time.Duration(lastLinkShare*float64(left)), time.Millisecond)
-	}
-	return time.Duration(linkShare * float64(c.route.Objective()))
-}
-
-// freshShare is the part of its objective up to which a request counts as fresh,
-// however long its route takes: where targets are so slow that none is in time,
-// none has to make room for another.
-const freshShare = 0.3
-
-// late reports whether the request is expected to miss its objective by the time
-// that has passed. A nested call is not: what counts is the request it is nested in.
-func (c *call) late() bool {
-	elapsed := c.handler.parts.Timer.Now().Sub(c.arrived) + c.used
-	usual := time.Duration(c.handler.times.of(c.route.Name()))
-	objective := c.route.Objective()
-	return c.parent == nil && float64(elapsed) > freshShare*float64(objective) && elapsed+usual > objective
-}
-
-const (
-	// nestedPatience is the part of its objective for which a nested call waits
-	// for a slot: its parent holds one elsewhere all the while.
-	nestedPatience = 0.5
-	// lastPatience is that of other requests at the last target that is asked.
-	lastPatience = 0.15
-)
-
-func (c *call) patience() time.Duration {
-	share := 0.0
-	switch {
-	case c.parent != nil:
-		share = nestedPatience
-	case c.last && c.waits():
-		share = lastPatience
-	}
-	return time.Duration(share * float64(c.route.Objective()))
-}
-
 // here runs the request at the target beside this node.
 func (c *call) here(ctx context.Context, target *bffleet.Target) bfhost.Result {
 	request := *c.request
