--- a/lib/bfentry/policy.go
+++ b/lib/bfentry/policy.go
@@ -18,24 +18,14 @@
 	}
 }
 
-const (
-	// linkShare is the part of its objective for which a long answer may wait for the
-	// link of its target's node while there are others to ask.
-	linkShare = 0.4
-	// lastLinkShare is the part of the time left for which it may wait at the last one.
-	// A download that is run and then waits for longer is cut by its deadline, and the
-	// link has carried a part of it for nothing.
-	lastLinkShare = 0.7
-)
+// linkShare is the part of its objective for which a long answer may wait for the
+// link of its target's node while there are others to ask.
+const linkShare = 0.4
 
 func (c *call) linkPatience() time.Duration {
-	if c.route.Kind() != bftraffic.Download {
+	if c.last || c.route.Kind() != bftraffic.Download {
 		return 0
 	}
-	if c.last {
-		left := c.deadline.Sub(c.handler.parts.Timer.Now())
-		return max(time.Duration(lastLinkShare*float64(left)), time.Millisecond)
-	}
 	return time.Duration(linkShare * float64(c.route.Objective()))
 }
 
