--- a/bfnode/internal/bfmesh/state_test.go
+++ b/bfnode/internal/bfmesh/state_test.go
@@ -1,8 +1,8 @@
 package bfmesh
 
 import (
-	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -14,6 +14,7 @@
 	"bilberryflow.org/lib/bfpresence"
 	"bilberryflow.org/lib/bfstore"
 	"bilberryflow.org/lib/bftraffic"
+	"bilberryflow.org/platform/bfdialect"
 )
 
 func newState() *state {
@@ -60,20 +61,36 @@
 	is.Equal(s.fleet.Members()[0].Inbound, "c")
 }
 
+// version is the operators' row with a configuration of one route to a service; the
+// configuration has the service s alone.
+func version(t *testing.T, number int, kind bftraffic.Kind, service string) bfstore.Entry {
+	t.Helper()
+	value, err := bfdialect.EncodeConfiguration(bftraffic.Spec{
+		Version: bftraffic.Version(number), Services: []bftraffic.ServiceSpec{{Name: "s"}},
+		Routes: []bftraffic.RouteSpec{{
+			Name: "r", Host: "h", Prefix: "/", Kind: kind, Timeout: time.Second, MaxAttempts: 1,
+			Destinations: []bftraffic.Destination{{Service: service, Weight: 1}},
+		}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return bfstore.Entry{Key: bfdialect.ConfigurationKey, Value: value, Revision: uint64(number)}
+}
+
 // A row of the operators' table can't be read, or its configuration does not hold
 // together. What is in force stays, whole.
 func TestWrongConfigurationLeavesTheOldOne(t *testing.T) {
 	is := is.New(t)
 	s := newState()
-	config := func(text string) bffollow.Batch {
-		return bffollow.Batch{Entries: []bfstore.Entry{{Key: "config", Value: []byte(text)}}}
-	}
-	s.applyConfiguration(config(`{"version":3,"services":[{"name":"s"}],"routes":[{"name":"r","host":"h","prefix":"/","route_type":"idempotent","timeout_s":1,"service":"s","max_attempts":1}]}`))
+	s.applyConfiguration(bffollow.Batch{Entries: []bfstore.Entry{version(t, 3, bftraffic.Idempotent, "s")}})
 	is.Equal(s.Version(), bftraffic.Version(3))
-	for _, text := range []string{`{"version":4,`, `{"version":4,"routes":[{"name":"r","route_type":"often"}]}`,
-		`{"version":4,"routes":[{"name":"r","host":"h","prefix":"/","route_type":"idempotent","timeout_s":1,"service":"gone","max_attempts":1}]}`} {
-		s.applyConfiguration(config(text))
+	cut := version(t, 4, bftraffic.Idempotent, "s")
+	cut.Value = cut.Value[:len(cut.Value)/2]
+	for _, wrong := range []bfstore.Entry{cut, version(t, 4, bftraffic.Kind(99), "s"), version(t, 4, bftraffic.Idempotent, "gone")} {
+		s.applyConfiguration(bffollow.Batch{Entries: []bfstore.Entry{wrong}})
 		is.Equal(s.Version(), bftraffic.Version(3))
+		is.True(s.refused.Load() != nil)
 	}
 }
 
@@ -82,11 +99,10 @@
 func TestNewestGoodVersionOfABatch(t *testing.T) {
 	is := is.New(t)
 	s := newState()
-	version := func(number int, service string) bfstore.Entry {
-		const form = `{"version":%d,"services":[{"name":"s"}],"routes":[{"name":"r","host":"h","prefix":"/","route_type":"idempotent","timeout_s":1,"service":%q,"max_attempts":1}]}`
-		return bfstore.Entry{Key: "config", Value: fmt.Appendf(nil, form, number, service), Revision: uint64(number)}
+	entries := []bfstore.Entry{
+		version(t, 3, bftraffic.Idempotent, "s"), version(t, 7, bftraffic.Idempotent, "s"), version(t, 8, bftraffic.Idempotent, "gone"),
 	}
-	s.applyConfiguration(bffollow.Batch{Entries: []bfstore.Entry{version(3, "s"), version(7, "s"), version(8, "gone")}})
+	s.applyConfiguration(bffollow.Batch{Entries: entries})
 	is.Equal(s.Version(), bftraffic.Version(7))
 	is.Equal(s.refused.Load().Version, bftraffic.Version(8))
 	is.True(s.Recent(3) == nil) // never taken
--- a/bftrial/internal/bfsoak/target.go
+++ b/bftrial/internal/bfsoak/target.go
@@ -20,7 +20,7 @@
 var headers = bfdialect.Headers()
 
 // signature is the header by which a target's own answer is known.
-const signature = "X-Response-Signature"
+const signature = bfdialect.SignatureHeader
 
 // ledger is what the targets saw.
 type ledger struct {
