Idempotent requests of one connection run side by side

Ruled out: handing each request to net/http on a connection of its own (its bytes would be copied and parsed twice, and the end of an answer guessed); taking over a connection once a second request shows (the first is in progress by then).

Change: lib/bfpipeline reads requests with net/http's parser, runs those that may be repeated beside each other, all others in turn, and answers in order. Only the newest answer ends the connection; what is behind it is not passed on. The limits of the configuration are held now.

--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -23,6 +23,7 @@
 	"bilberryflow.org/lib/bfnews"
 	"bilberryflow.org/lib/bfoperator"
 	"bilberryflow.org/lib/bfpeer"
+	"bilberryflow.org/lib/bfpipeline"
 	"bilberryflow.org/lib/bfpresence"
 	"bilberryflow.org/lib/bfprogram"
 	"bilberryflow.org/lib/bfserver"
@@ -55,6 +56,7 @@
 	calls    *bfpeer.Calls
 	news     *bfnews.Exchange
 	peers    net.Listener
+	callers  *bfpipeline.Server
 	ready    readiness
 }
 
@@ -227,13 +229,20 @@
 		name, address string
 		handler       http.Handler
 	}{
-		{"caller", n.common.Caller, n.entry},
 		{"inbound", n.common.Inbound, bfhost.NewInbound(n.host, n.pacer)},
 		{"target", n.common.Target, bfdialect.Reports{Heard: n.host.Heard, Left: n.host.Left}},
 		{"operator", n.common.Operator, bfoperator.NewOpen(n.inspector())},
 		{"ready", n.settings.Ready, ready},
 	}
-	var servers []transport.Server
+	callers, err := bfpipeline.Listen(n.common.Caller, bfpipeline.Parts{
+		Name: "caller", Handler: n.entry, Beside: n.entry.Beside, Limits: n.limits,
+		Spawn: n.group.Go, SendBuffer: n.settings.sendBuffer(), Logger: n.logger,
+	})
+	if err != nil {
+		return nil, err
+	}
+	n.callers = callers
+	servers := []transport.Server{callers}
 	for _, port := range ports {
 		server, err := bfserver.Listen(port.name, port.address, port.handler, nil)
 		if err != nil {
@@ -242,13 +251,24 @@
 		server.SendBuffer(n.settings.sendBuffer())
 		servers = append(servers, server)
 	}
-	var err error
 	if n.peers, err = net.Listen("tcp", n.common.Peer); err != nil {
 		return nil, &bfserver.ListenError{Port: "peer", Address: n.common.Peer, Reason: err}
 	}
 	return servers, nil
 }
 
+// limits bound what callers may send, by the configuration in force.
+func (n *node) limits() bfpipeline.Limits {
+	traffic := n.traffic.Current()
+	if traffic == nil {
+		return bfpipeline.Limits{}
+	}
+	l := traffic.Limits()
+	return bfpipeline.Limits{
+		HeaderBytes: l.MaxHeaderBytes, BodyBytes: l.MaxBodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout,
+	}
+}
+
 // Start runs the node's own work until Stop.
 func (n *node) Start(context.Context) error {
 	n.group.Go("timer", n.timer.Run)
--- a/lib/bfentry/entry_test.go
+++ b/lib/bfentry/entry_test.go
@@ -515,3 +515,15 @@
 	answer, _ = m.ask(http.MethodGet, "/look/1", nil)
 	m.Equal(answer, "500 broken")
 }
+
+// A caller sends a look-up behind another one, an approval and a path without a route.
+// Only the look-up may run beside others: what may run once must not share its
+// connection's fate with them.
+func TestOnlyRepeatableRequestsRunBesideOthers(t *testing.T) {
+	m := newMesh(t, bfretry.Terms{}, http.NotFound)
+	for path, beside := range map[string]bool{"/look/1?a=/b": true, "/approve/1": false, "/nowhere": false} {
+		r := httptest.NewRequest(http.MethodGet, path, nil)
+		r.Host = "h.example"
+		m.Equal(m.entry.Beside(r), beside)
+	}
+}
--- a/lib/bfentry/handler.go
+++ b/lib/bfentry/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -76,6 +77,19 @@
 // beside this node still runs go on: refused, their parents would fail.
 func (h *Handler) Close() { h.closed.Store(true) }
 
+// Beside reports whether a request may run while others of its connection do: those
+// that may be repeated. A download may not, since one that breaks off ends the
+// connection, and the answers behind it with it.
+func (h *Handler) Beside(r *http.Request) bool {
+	traffic := h.parts.Traffic.Current()
+	if traffic == nil {
+		return false
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	route := traffic.Match(r.Host, path)
+	return route != nil && route.Kind() == bftraffic.Idempotent
+}
+
 // startingPause is when to come back to a node that has no configuration yet: a
 // node that starts has one within a few exchanges with the store.
 const startingPause = 300 * time.Millisecond
@@ -104,6 +118,11 @@
 	if c != nil {
 		c.version = traffic.Version()
 	}
+	var over *http.MaxBytesError
+	if errors.As(err, &over) {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
 	if err != nil {
 		// The body broke off: the caller has gone or its connection has.
 		http.Error(w, "unreadable request: "+err.Error(), http.StatusBadRequest)
