Targets that start again under their name; rows and reports of other writers

Cause: a departed incarnation was refused for good and a lower sequence number taken for late, so a target that starts again under its name got no work, or its earlier start's draining bound it. Rows of the members' table were taken with any field missing; reports were taken without slots or address.

Change: the start (Unix ms) tells starts apart; a departure covers its start and those before it; where it does not say which, the start heard last, or all until now. A member whose row was written over is out of use; the others hold.

The members of state_test.go had no peer, domain or slots, which no member lacks; they have them now, and the checks are the same.

--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -230,7 +230,7 @@
 		handler       http.Handler
 	}{
 		{"inbound", n.common.Inbound, bfhost.NewInbound(n.host, n.pacer)},
-		{"target", n.common.Target, bfdialect.Reports{Heard: n.host.Heard, Left: n.host.Left}},
+		{"target", n.common.Target, bfdialect.Reports{Heard: n.host.Heard, Left: n.host.Left, Refused: n.reportRefused}},
 		{"operator", n.common.Operator, bfoperator.NewOpen(n.inspector())},
 		{"ready", n.settings.Ready, ready},
 	}
@@ -257,6 +257,11 @@
 	return servers, nil
 }
 
+// reportRefused tells of a report that no target sent.
+func (n *node) reportRefused(incarnation string, err error) {
+	n.logger.Emit(bflog.ReportRefused, slog.String("incarnation", incarnation), bflog.Err(err))
+}
+
 // limits bound what callers may send, by the configuration in force.
 func (n *node) limits() bfpipeline.Limits {
 	traffic := n.traffic.Current()
--- a/bfnode/internal/bfmesh/state.go
+++ b/bfnode/internal/bfmesh/state.go
@@ -126,9 +126,11 @@
 			gone = append(gone, entry.Key)
 			continue
 		}
-		member, err := bffleet.DecodeMember(entry.Value)
-		if err != nil || member.Inbound != entry.Key {
-			s.logger.Emit(bflog.InvariantBroken, slog.String("member", entry.Key), bflog.Err(err))
+		member, err := bffleet.DecodeMember(entry.Key, entry.Value)
+		if err != nil {
+			// Written over by another writer, it names no target any more.
+			gone = append(gone, entry.Key)
+			s.logger.Emit(bflog.RowRefused, slog.String("member", entry.Key), bflog.Err(err))
 			continue
 		}
 		member.Revision = entry.Revision
--- a/bfnode/internal/bfmesh/state_test.go
+++ b/bfnode/internal/bfmesh/state_test.go
@@ -27,7 +27,7 @@
 
 func row(t *testing.T, inbound string, revision uint64) bfstore.Entry {
 	t.Helper()
-	value, err := bffleet.Member{Inbound: inbound, Service: "vault"}.Encode()
+	value, err := bffleet.Member{Inbound: inbound, Peer: "10.0.0.9:2", Service: "vault", Domain: "nord", Slots: 9}.Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -40,9 +40,9 @@
 func TestListAfterDroppedHistoryCounts(t *testing.T) {
 	is := is.New(t)
 	s := newState()
-	s.applyMembers(bffollow.Batch{Whole: true, Entries: []bfstore.Entry{row(t, "a", 4), row(t, "b", 9)}, Revision: 9})
+	s.applyMembers(bffollow.Batch{Whole: true, Entries: []bfstore.Entry{row(t, "a:1", 4), row(t, "b:1", 9)}, Revision: 9})
 	is.Equal(s.fleet.Size(), 2)
-	s.applyMembers(bffollow.Batch{Whole: true, Entries: []bfstore.Entry{row(t, "a", 4)}, Revision: 12})
+	s.applyMembers(bffollow.Batch{Whole: true, Entries: []bfstore.Entry{row(t, "a:1", 4)}, Revision: 12})
 	is.Equal(s.fleet.Size(), 1)
 	is.Equal(s.Revision(), uint64(12))
 }
@@ -52,13 +52,37 @@
 func TestOldNewsOfMembersIsPassedOver(t *testing.T) {
 	is := is.New(t)
 	s := newState()
-	s.TakeRoster(bfnews.Roster{Revision: 20, Members: []bffleet.Member{{Inbound: "a", Service: "vault"}}})
-	s.applyMembers(bffollow.Batch{Entries: []bfstore.Entry{row(t, "b", 15)}, Revision: 15})
+	s.TakeRoster(bfnews.Roster{Revision: 20, Members: []bffleet.Member{{Inbound: "a:1", Service: "vault"}}})
+	s.applyMembers(bffollow.Batch{Entries: []bfstore.Entry{row(t, "b:1", 15)}, Revision: 15})
 	is.Equal(s.fleet.Size(), 1)
 	s.TakeRoster(bfnews.Roster{Revision: 19, Members: nil})
 	is.Equal(s.fleet.Size(), 1)
-	s.applyMembers(bffollow.Batch{Entries: []bfstore.Entry{row(t, "c", 21), {Key: "a", Revision: 22, Removed: true}}, Revision: 22})
-	is.Equal(s.fleet.Members()[0].Inbound, "c")
+	s.applyMembers(bffollow.Batch{Entries: []bfstore.Entry{row(t, "c:1", 21), {Key: "a:1", Revision: 22, Removed: true}}, Revision: 22})
+	is.Equal(s.fleet.Members()[0].Inbound, "c:1")
+}
+
+// Another writer puts rows into the members' table, one over a member's own: bytes
+// that are none, a row under another's key, one that names no service. None may get a
+// caller's request, the one written over included, and the others are used on, whether
+// the rows come as changes or in a whole list.
+func TestRowsOfAnotherWriterNameNoTarget(t *testing.T) {
+	is := is.New(t)
+	foreign, err := bffleet.Member{Inbound: "d:1", Peer: "d:2", Domain: "nord", Slots: 9}.Encode()
+	is.NoErr(err)
+	misplaced := row(t, "b:1", 14)
+	misplaced.Key = "e:1"
+	bad := []bfstore.Entry{
+		{Key: "a:1", Value: []byte("{}"), Revision: 11}, {Key: "c:1", Value: []byte{0xff, 0}, Revision: 12},
+		{Key: "d:1", Value: foreign, Revision: 13}, misplaced,
+	}
+	for _, whole := range []bool{false, true} {
+		s := newState()
+		s.applyMembers(bffollow.Batch{Whole: true, Entries: []bfstore.Entry{row(t, "a:1", 4), row(t, "b:1", 9)}, Revision: 9})
+		is.Equal(s.fleet.Size(), 2)
+		s.applyMembers(bffollow.Batch{Whole: whole, Entries: append([]bfstore.Entry{row(t, "b:1", 9)}, bad...), Revision: 14})
+		is.Equal(s.fleet.Size(), 1)
+		is.Equal(s.fleet.Members()[0].Inbound, "b:1")
+	}
 }
 
 // version is the operators' row with a configuration of one route to a service; the
--- a/bfnode/internal/bfmesh/stop_test.go
+++ b/bfnode/internal/bfmesh/stop_test.go
@@ -38,6 +38,6 @@
 	is.True(n.host.Leaving())
 	is.True(n.presence.Settled()) // the row is as it should be
 
-	n.host.Left("a")
+	n.host.Left(bfhost.Departure{Incarnation: "a"})
 	is.True(!n.presence.Settled()) // the row has to go
 }
--- a/bftrial/internal/bfsoak/target.go
+++ b/bftrial/internal/bfsoak/target.go
@@ -176,12 +176,12 @@
 		t.state.Store(int32(bfhost.Draining))
 	} else {
 		t.state.Store(0)
-		if t.reports.Leave(ctx, t.id) == nil {
+		if t.reports.Leave(ctx, bfhost.Departure{Incarnation: t.id}) == nil {
 			t.ledger.left(t.id)
 		}
 	}
 	time.Sleep(2500 * time.Millisecond)
 	t.state.Store(0)
-	_ = t.reports.Leave(ctx, t.id)
+	_ = t.reports.Leave(ctx, bfhost.Departure{Incarnation: t.id})
 	t.server.Close()
 }
--- a/lib/bfentry/entry_test.go
+++ b/lib/bfentry/entry_test.go
@@ -191,7 +191,7 @@
 // beside it sends the request elsewhere, at no cost in the budget.
 func TestRefusalGoesToTheNextNode(t *testing.T) {
 	m := newMesh(t, bfretry.Terms{}, hello, hello, hello)
-	m.nodes[0].host.Left("a")
+	m.nodes[0].host.Left(bfhost.Departure{Incarnation: "a"})
 	m.nodes[1].host.Leave()
 	for i := range 20 {
 		answer, _ := m.ask(http.MethodPost, fmt.Sprint("/approve/", i), nil)
--- a/lib/bffleet/fleet_test.go
+++ b/lib/bffleet/fleet_test.go
@@ -1,11 +1,14 @@
 package bffleet
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"bilberryflow.org/lib/bfheader"
 )
 
 func member(n int, domain string) Member {
@@ -142,7 +145,7 @@
 	f.Replace([]Member{member(1, "nord"), member(2, "nord")})
 	before := f.view.Load().members["10.0.0.1:1"]
 	changed := member(2, "nord")
-	changed.Slots = 5
+	changed.Slots, changed.Peer = 5, "10.0.0.2:2"
 	f.Replace([]Member{member(1, "nord"), changed})
 	is.True(f.view.Load().members["10.0.0.1:1"] == before)
 	f.Change(nil, []string{"10.0.0.2:1"})
@@ -151,11 +154,33 @@
 	is.True(!found)
 	value, err := changed.Encode()
 	is.NoErr(err)
-	read, err := DecodeMember(value)
+	read, err := DecodeMember(changed.Inbound, value)
 	is.NoErr(err)
 	is.Equal(read, changed)
-	_, err = DecodeMember([]byte("no"))
+	_, err = DecodeMember(changed.Inbound, []byte("no"))
 	is.True(err != nil)
+	var wrong *MemberError
+	_, err = DecodeMember("10.0.0.9:1", value)
+	is.True(errors.As(err, &wrong))
+	is.Equal(wrong.Field, "inbound")
+}
+
+// The members' table may hold any bytes, and what passes for a member is one that a
+// request can be sent to.
+func FuzzDecodeMember(f *testing.F) {
+	value, err := member(1, "nord").Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add("10.0.0.1:1", value)
+	f.Add("10.0.0.1:1", []byte("no"))
+	f.Add("x", []byte{0xa1, 0x01, 0x61, 'x'})
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		m, err := DecodeMember(key, value)
+		if err == nil && (m.Inbound != key || m.Service == "" || m.Domain == "" || m.Slots < 1 || !bfheader.IsAddress(m.Inbound) || !bfheader.IsAddress(m.Peer)) {
+			t.Fatalf("%+v passes for a member", m)
+		}
+	})
 }
 
 // A node's link is slow, and a target of the service stands beside it. A download
--- a/lib/bffleet/member.go
+++ b/lib/bffleet/member.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"fmt"
 
 	"bilberryflow.org/lib/bfcodec"
+	"bilberryflow.org/lib/bfheader"
 )
 
 // Member is a node whose target takes work, as it is written in the store.
@@ -33,9 +35,43 @@
 // Encode writes the member as a row's value.
 func (m Member) Encode() ([]byte, error) { return bfcodec.Marshal(m) }
 
-// DecodeMember reads a row's value.
-func DecodeMember(value []byte) (Member, error) {
+// MemberError reports a row that can't be a member's.
+type MemberError struct {
+	Key   string
+	Field string
+}
+
+// Error names the row's key and the field.
+func (e *MemberError) Error() string {
+	return fmt.Sprintf("row %q is no member's: %s is missing or out of range", e.Key, e.Field)
+}
+
+// maxSlots is more than any target has.
+const maxSlots = 100_000
+
+// DecodeMember reads the value of the row of a key.
+//
+// A row may come from another writer. One that lacks a field, or lies under another's
+// key, would have requests sent to an address where no node is.
+func DecodeMember(key string, value []byte) (Member, error) {
 	var m Member
-	err := bfcodec.Unmarshal(value, "member", &m)
-	return m, err
+	if err := bfcodec.Unmarshal(value, "member", &m); err != nil {
+		return Member{}, err
+	}
+	for _, field := range []struct {
+		name string
+		good bool
+	}{
+		{"inbound", m.Inbound == key && bfheader.IsAddress(m.Inbound)},
+		{"peer", bfheader.IsAddress(m.Peer)},
+		{"service", m.Service != ""},
+		{"domain", m.Domain != ""},
+		{"slots", m.Slots > 0 && m.Slots <= maxSlots},
+		{"link", m.LinkMbps >= 0},
+	} {
+		if !field.good {
+			return Member{}, &MemberError{Key: key, Field: field.name}
+		}
+	}
+	return m, nil
 }
--- a/lib/bfhost/heartbeat.go
+++ b/lib/bfhost/heartbeat.go
@@ -1,6 +1,9 @@
 package bfhost
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // State is what a target says of itself.
 type State int
@@ -23,9 +26,13 @@
 
 // Heartbeat is a target's word about itself.
 type Heartbeat struct {
-	// Incarnation names one start of the target.
+	// Incarnation is the name that the target gives itself. It may start again under
+	// the name that it had.
 	Incarnation string
-	// Sequence grows with each heartbeat of an incarnation.
+	// Started is when it started by its own clock, zero where it does not say. It
+	// tells the starts under one name apart.
+	Started time.Time
+	// Sequence grows with each heartbeat of a start.
 	Sequence int64
 	Service  string
 	Address  string
@@ -44,7 +51,7 @@
 	takes bool
 }
 
-// Incarnation names the start of the target.
+// Incarnation is the name that the target gave itself.
 func (t *Target) Incarnation() string { return t.heartbeat.Incarnation }
 
 // Address is where the target takes requests.
@@ -59,43 +66,61 @@
 // Takes reports whether the target gets new work.
 func (t *Target) Takes() bool { return t.takes }
 
-// maxDeparted bounds the departed incarnations that are remembered; a late
-// heartbeat comes seconds after its target, and few targets follow each other so fast.
+// Departure is a target's word that it leaves.
+type Departure struct {
+	Incarnation string
+	// Started is when the start that leaves began, zero where it does not say.
+	Started time.Time
+}
+
+// maxDeparted bounds the departures that are remembered; a late heartbeat comes
+// seconds after its target, and few targets follow each other so fast.
 const maxDeparted = 64
 
 // book decides what heartbeats and departures mean; it is not safe for concurrent use.
 type book struct {
 	service string
 	current *Target
-	// departed holds the incarnations that left, oldest first.
-	departed []string
+	// departed holds the starts that left, oldest first.
+	departed []Departure
 }
 
 // hear takes a heartbeat and reports whether it changed what is believed.
 //
 // A heartbeat can be seconds late: one sent before the target began to drain, or
 // before it left, would bring new work to a target that exits. The sequence
-// number orders those of one incarnation, and a departure is final.
+// number orders those of one start, and a departure is final for it.
 func (b *book) hear(h Heartbeat, now time.Time) bool {
-	if h.Service != b.service || b.hasLeft(h.Incarnation) {
-		return false
-	}
-	if b.current != nil && b.current.Incarnation() == h.Incarnation {
-		if h.Sequence <= b.current.heartbeat.Sequence {
-			return false
-		}
-	} else if b.current != nil && b.current.takes && now.Sub(b.current.heard) < succession {
-		// Two incarnations speak at one address. The newer one goes on speaking.
+	if h.Service != b.service || b.hasLeft(h) || !b.follows(h, now) {
 		return false
 	}
 	before := b.current
-	draining := h.State == Draining || before != nil && before.Incarnation() == h.Incarnation && before.heartbeat.State == Draining
-	if draining {
+	// A later start under the same name knows nothing of what the earlier one said.
+	same := before != nil && before.isStart(h)
+	if same && before.heartbeat.State == Draining {
 		h.State = Draining
 	}
-	b.current = &Target{heartbeat: h, heard: now, takes: !draining}
-	return before == nil || before.takes != b.current.takes || before.Incarnation() != h.Incarnation ||
-		before.Slots() != h.Slots
+	b.current = &Target{heartbeat: h, heard: now, takes: h.State != Draining}
+	return !same || before.takes != b.current.takes || before.Slots() != h.Slots
+}
+
+// isStart reports whether a heartbeat is one of the target's start.
+func (t *Target) isStart(h Heartbeat) bool {
+	return t.Incarnation() == h.Incarnation && t.heartbeat.Started.Equal(h.Started)
+}
+
+// follows reports whether a heartbeat is newer than what is believed.
+func (b *book) follows(h Heartbeat, now time.Time) bool {
+	switch {
+	case b.current == nil:
+		return true
+	case b.current.isStart(h):
+		return h.Sequence > b.current.heartbeat.Sequence
+	case b.current.Incarnation() == h.Incarnation:
+		return h.Started.After(b.current.heartbeat.Started)
+	}
+	// Two incarnations speak at one address. The newer one goes on speaking.
+	return !b.current.takes || now.Sub(b.current.heard) >= succession
 }
 
 // succession is how long a target must have been silent before another
@@ -105,14 +130,15 @@
 const succession = 3 * time.Second
 
 // leave takes a departure and reports whether it changed what is believed.
-func (b *book) leave(incarnation string) bool {
-	if !b.hasLeft(incarnation) {
-		b.departed = append(b.departed, incarnation)
+func (b *book) leave(d Departure, now time.Time) bool {
+	d.Started = b.startOf(d, now)
+	if !slices.Contains(b.departed, d) {
+		b.departed = append(b.departed, d)
 		if len(b.departed) > maxDeparted {
 			b.departed = b.departed[1:]
 		}
 	}
-	if b.current == nil || b.current.Incarnation() != incarnation || !b.current.takes {
+	if b.current == nil || !b.current.takes || !d.covers(b.current.heartbeat) {
 		return false
 	}
 	left := *b.current
@@ -122,21 +148,34 @@
 	return true
 }
 
+// startOf is the start that leaves. A departure that does not say is that of the start
+// which was heard last; of one that was never heard it is known only that it began
+// before it left.
+func (b *book) startOf(d Departure, now time.Time) time.Time {
+	switch {
+	case !d.Started.IsZero():
+		return d.Started
+	case b.current != nil && b.current.Incarnation() == d.Incarnation:
+		return b.current.heartbeat.Started
+	}
+	return time.UnixMilli(now.UnixMilli())
+}
+
+// covers reports whether a heartbeat is of the start that left or of an earlier one.
+func (d Departure) covers(h Heartbeat) bool {
+	return d.Incarnation == h.Incarnation && !h.Started.After(d.Started)
+}
+
 // replaced takes a target's own word that it is not the incarnation that was believed.
-func (b *book) replaced(incarnation string) bool {
+func (b *book) replaced(incarnation string, now time.Time) bool {
 	if b.current == nil || b.current.Incarnation() != incarnation {
 		return false
 	}
-	b.leave(incarnation)
+	b.leave(Departure{Incarnation: incarnation}, now)
 	b.current = nil
 	return true
 }
 
-func (b *book) hasLeft(incarnation string) bool {
-	for _, left := range b.departed {
-		if left == incarnation {
-			return true
-		}
-	}
-	return false
+func (b *book) hasLeft(h Heartbeat) bool {
+	return slices.ContainsFunc(b.departed, func(d Departure) bool { return d.covers(h) })
 }
--- a/lib/bfhost/host.go
+++ b/lib/bfhost/host.go
@@ -58,9 +58,10 @@
 	h.change(func(b *book) bool { return b.hear(beat, now) })
 }
 
-// Left takes the departure of an incarnation.
-func (h *Host) Left(incarnation string) {
-	h.change(func(b *book) bool { return b.leave(incarnation) })
+// Left takes the target's departure.
+func (h *Host) Left(departure Departure) {
+	now := h.parts.Timer.Now()
+	h.change(func(b *book) bool { return b.leave(departure, now) })
 }
 
 func (h *Host) change(fn func(*book) bool) {
@@ -236,7 +237,8 @@
 		// Another incarnation has the address; nothing runs until it is heard of.
 		from.Close()
 		finish()
-		h.change(func(b *book) bool { return b.replaced(target.Incarnation()) })
+		now := h.parts.Timer.Now()
+		h.change(func(b *book) bool { return b.replaced(target.Incarnation(), now) })
 		return Refused{Reason: NoTarget}
 	}
 	if from.Header().Get(h.parts.Names.NotRun) != "" {
--- a/lib/bfhost/host_test.go
+++ b/lib/bfhost/host_test.go
@@ -125,10 +125,10 @@
 func TestDepartureIsFinal(t *testing.T) {
 	r := newRig(t, hello)
 	r.beat("a", 1, Ready)
-	r.host.Left("a")
+	r.host.Left(Departure{Incarnation: "a"})
 	r.beat("a", 2, Ready)
 	r.Equal(r.run(job("1")), "refused leaving")
-	r.host.Left("never heard")
+	r.host.Left(Departure{Incarnation: "never heard"})
 	r.beat("never heard", 1, Ready)
 	r.Equal(r.run(job("2")), "refused leaving")
 	r.beat("b", 1, Ready)
@@ -159,6 +159,48 @@
 	r.Equal(r.run(job("4")), "200 hello")
 }
 
+// A target starts again under the name that it had. Its counts begin anew, and it
+// holds nothing of before: that it had drained, or left, binds the earlier start alone.
+// Heartbeats and the departure of the earlier start come late, and change nothing.
+func TestTargetStartsAgainUnderItsName(t *testing.T) {
+	beat := func(started int64, sequence int64, state State) Heartbeat {
+		return Heartbeat{Incarnation: "a", Started: time.UnixMilli(started), Sequence: sequence, Service: "portal", State: state, Slots: 2, Address: "h:1"}
+	}
+	now := time.UnixMilli(50_000)
+	for _, first := range []func(*book){
+		func(b *book) { b.hear(beat(1000, 40, Ready), now) },
+		func(b *book) { b.hear(beat(1000, 40, Draining), now) },
+		func(b *book) { b.hear(beat(1000, 40, Ready), now); b.leave(Departure{Incarnation: "a"}, now) },
+		func(b *book) { b.leave(Departure{Incarnation: "a", Started: time.UnixMilli(1000)}, now) },
+		func(*book) {}, // the node itself has started again and knows nothing
+	} {
+		is := is.New(t)
+		b := &book{service: "portal"}
+		first(b)
+		is.True(b.hear(beat(9000, 1, Ready), now))
+		is.True(b.current.takes)
+		is.True(!b.hear(beat(1000, 41, Draining), now))
+		is.True(!b.leave(Departure{Incarnation: "a", Started: time.UnixMilli(1000)}, now))
+		is.True(b.current.takes)
+		is.Equal(b.current.heartbeat.Sequence, int64(1))
+		is.True(b.leave(Departure{Incarnation: "a", Started: time.UnixMilli(9000)}, now))
+		is.True(!b.hear(beat(9000, 2, Ready), now)) // the departure is final
+	}
+}
+
+// A node that has just started hears that a target left, of which it knows nothing. A
+// late heartbeat of that start must bring no work; a start after it must.
+func TestDepartureOfAnUnknownStart(t *testing.T) {
+	is := is.New(t)
+	b, now := &book{service: "portal"}, time.UnixMilli(50_000)
+	b.leave(Departure{Incarnation: "a"}, now)
+	late := Heartbeat{Incarnation: "a", Started: time.UnixMilli(1000), Sequence: 7, Service: "portal", State: Ready, Slots: 2}
+	is.True(!b.hear(late, now))
+	again := late
+	again.Started, again.Sequence = time.UnixMilli(53_000), 1
+	is.True(b.hear(again, now.Add(4*time.Second)))
+}
+
 // The machine's address was another service's before; a node far away still
 // sends that service's requests here.
 func TestAnotherServicesRequestIsRefused(t *testing.T) {
--- a/lib/bflog/events.go
+++ b/lib/bflog/events.go
@@ -64,6 +64,8 @@
 	StoreLost     = declare(2101, slog.LevelWarn, "store does not answer this node", "Requests go on by what is held; other nodes are asked for news.")
 	StoreRegained = declare(2102, slog.LevelInfo, "store answers this node again", "Nothing.")
 	StoreListed   = declare(2103, slog.LevelInfo, "table read whole", "Nothing; it follows a start or history that the store dropped.")
+	RowRefused    = declare(3106, slog.LevelWarn, "row of another writer passed over", "Find who else writes to the members' table.")
+	ReportRefused = declare(3107, slog.LevelWarn, "report refused, it is no target's", "Find who else calls the node's port for its target.")
 	NodeFound     = declare(3104, slog.LevelInfo, "node takes connections again", "Nothing.")
 	RowForgotten  = declare(3105, slog.LevelWarn, "row of a lost node removed", "Nothing; if the node lives it writes its row again.")
 	FleetChanged  = declare(3101, slog.LevelInfo, "members changed", "Nothing.")
