--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -236,7 +236,7 @@
 	}
 	callers, err := bfpipeline.Listen(n.common.Caller, bfpipeline.Parts{
 		Name: "caller", Handler: n.entry, Beside: n.entry.Beside, Limits: n.limits,
-		Spawn: n.group.Go, SendBuffer: n.settings.sendBuffer(), Logger: n.logger,
+		SendBuffer: n.settings.sendBuffer(), Logger: n.logger,
 	})
 	if err != nil {
 		return nil, err
--- a/lib/bffleet/fleet.go
+++ b/lib/bffleet/fleet.go
@@ -124,7 +124,7 @@
 const (
 	// otherDomain is the load by which a target in another failure domain is
 	// passed over for one in the node's own: the way is longer.
-	otherDomain = 0.3
+	otherDomain = 1.0
 	// bytesOfLoad is how many bytes sent between domains weigh as much as a whole
 	// load. Bytes between domains are paid for, at the users' prices a download of
 	// 90 kB with about what its answer is worth; a short answer costs next to nothing.
--- a/lib/bfpipeline/connection.go
+++ b/lib/bfpipeline/connection.go
@@ -72,7 +72,7 @@
 		if !c.begin(e) {
 			continue
 		}
-		c.server.parts.Spawn(c.server.parts.Name+" request", e.run)
+		c.server.group.Go(c.server.parts.Name+" request", e.run)
 		// Only one goroutine may use the reader: the body is the handler's.
 		<-e.bodyOver
 	}
--- a/lib/bfpipeline/pipeline_test.go
+++ b/lib/bfpipeline/pipeline_test.go
@@ -67,7 +67,7 @@
 	p := &port{I: is.New(t)}
 	group := bfgroup.New(context.Background())
 	server, err := Listen("127.0.0.1:0", Parts{
-		Name: "caller", Handler: handler, Spawn: group.Go, Logger: bflog.Discard(),
+		Name: "caller", Handler: handler, Logger: bflog.Discard(),
 		Beside: func(r *http.Request) bool { return r.Method == http.MethodGet },
 		Limits: func() Limits { return limits },
 	})
@@ -406,3 +406,24 @@
 	p.NoErr(<-stopped)
 	p.Equal(p.server.Open(), 0)
 }
+
+// A node stops while a target still runs a request that nobody may break off. The time
+// for the stop ends: the connection is cut and the stop is over, though the handler
+// goes on; waited for, the process would be killed in the middle of what it writes last.
+func TestStopDoesNotWaitForWhatItCuts(t *testing.T) {
+	goesOn, began := make(chan struct{}), make(chan struct{})
+	p := serve(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(began)
+		<-goesOn
+	}), Limits{})
+	p.send(get("/1"))
+	<-began
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	at := time.Now()
+	p.True(p.server.Stop(ctx) != nil)
+	p.True(time.Since(at) < time.Second)
+	body, _ := p.answer()
+	p.Equal(body, "")
+	close(goesOn)
+}
--- a/lib/bfpipeline/server.go
+++ b/lib/bfpipeline/server.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"bilberryflow.org/lib/bfgroup"
 	"bilberryflow.org/lib/bflog"
 )
 
@@ -52,8 +53,6 @@
 	Beside func(*http.Request) bool
 	// Limits are those in force, nil for the defaults.
 	Limits func() Limits
-	// Spawn starts a goroutine of the process's group.
-	Spawn func(name string, fn func(ctx context.Context) error)
 	// SendBuffer bounds the bytes that wait in the system for a connection's peer, 0
 	// for the system's own bound.
 	SendBuffer int
@@ -79,6 +78,9 @@
 type Server struct {
 	parts    Parts
 	listener net.Listener
+	// group holds the goroutines of connections and requests. It is the server's own: a
+	// process that stops does not wait for a request that its stop has cut.
+	group *bfgroup.Group
 	// beside counts the requests that run beside an earlier one of their connection.
 	beside atomic.Int64
 
@@ -95,7 +97,10 @@
 	if err != nil {
 		return nil, &ListenError{Port: parts.Name, Address: address, Reason: err}
 	}
-	return &Server{parts: parts, listener: listener, open: map[*connection]struct{}{}, idle: make(chan struct{})}, nil
+	return &Server{
+		parts: parts, listener: listener, group: bfgroup.New(context.Background()),
+		open: map[*connection]struct{}{}, idle: make(chan struct{}),
+	}, nil
 }
 
 // Address is where the port listens, with the number that the system chose where the settings gave 0.
@@ -113,7 +118,7 @@
 const acceptPause = 5 * time.Millisecond
 
 // Start serves connections until Stop.
-func (s *Server) Start(ctx context.Context) error {
+func (s *Server) Start(context.Context) error {
 	for {
 		accepted, err := s.listener.Accept()
 		var failed net.Error
@@ -126,16 +131,16 @@
 		case err != nil:
 			return err
 		}
-		s.take(ctx, accepted)
+		s.take(accepted)
 	}
 }
 
-func (s *Server) take(ctx context.Context, accepted net.Conn) {
+func (s *Server) take(accepted net.Conn) {
 	if tcp, ok := accepted.(*net.TCPConn); ok && s.parts.SendBuffer > 0 {
 		// A system that does not allow it sends as it would anyway.
 		_ = tcp.SetWriteBuffer(s.parts.SendBuffer)
 	}
-	c := newConnection(ctx, s, accepted)
+	c := newConnection(s.group.Context(), s, accepted)
 	s.mu.Lock()
 	if s.stopping {
 		s.mu.Unlock()
@@ -144,7 +149,7 @@
 	}
 	s.open[c] = struct{}{}
 	s.mu.Unlock()
-	s.parts.Spawn(s.parts.Name+" connection", func(context.Context) error {
+	s.group.Go(s.parts.Name+" connection", func(context.Context) error {
 		defer s.forget(c)
 		c.serve()
 		return nil
