A target is chosen by what a request is expected to lose there; requests wait for a near one's turn

Change: costs are in shares of what an answer is worth: the chance that it is late (by the target's running time, the wait for its slots, and the time left), failures, bytes, and the slots it takes. A request waits at the chosen target for half of its slack; one whose turn can't come by then is refused at once.

TestFullFleetRefusesAtOnce held that a request never waits; TestFullFleetRefuses holds what is promised now: nobody waits past half of the slack, and those whose turn can't come are refused at once. TestOwnDomainFirstWhileItHasRoom holds both sides of the new choice. TestPatienceEnds waits longer than its turn would take, and shorter waits are refused at once by TestWaitInVainIsRefusedAtOnce.

--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -36,8 +36,7 @@
 	ran bfhost.Result
 	// lastTook is how long the newest sending took.
 	lastTook time.Duration
-	// last says that no other target is asked if this one is full, so that the
-	// request may wait there.
+	// last says that no other target is asked if this one is full.
 	last bool
 }
 
@@ -151,12 +150,9 @@
 
 func (c *call) demand() bffleet.Demand {
 	name := c.route.Name()
-	usual := time.Duration(c.handler.times.of(name))
 	return bffleet.Demand{
-		Usual:   usual,
-		Service: c.service, Bytes: int(c.handler.bytes.of(name)),
-		Haste:     float64(usual) / float64(max(c.route.Objective(), 1)),
-		Objective: c.route.Objective(),
+		Service: c.service, Bytes: int(c.handler.bytes.of(name)), Usual: c.usual(),
+		Running: time.Duration(c.handler.running.of(name)), Left: c.left(), Objective: c.route.Objective(),
 	}
 }
 
--- a/lib/bfentry/policy.go
+++ b/lib/bfentry/policy.go
@@ -37,35 +37,43 @@
 // late reports whether the request is expected to miss its objective by the time
 // that has passed. A nested call is not: what counts is the request it is nested in.
 func (c *call) late() bool {
-	elapsed := c.handler.parts.Timer.Now().Sub(c.arrived) + c.used
-	usual := time.Duration(c.handler.times.of(c.route.Name()))
-	objective := c.route.Objective()
-	return c.parent == nil && float64(elapsed) > freshShare*float64(objective) && elapsed+usual > objective
+	objective, left := c.route.Objective(), c.left()
+	return c.parent == nil && float64(objective-left) > freshShare*float64(objective) && c.usual() > left
 }
 
 const (
 	// nestedPatience is the part of its objective for which a nested call waits
 	// for a slot: its parent holds one elsewhere all the while.
 	nestedPatience = 0.5
-	// lastPatience is that of other requests at the last target that is asked.
-	lastPatience = 0.15
+	// slackPatience is the part of its slack for which another request waits at the
+	// target that was chosen for it. A tenth of the requests run for more than twice
+	// the mean, so the whole slack would be used up by waiting alone.
+	slackPatience = 0.5
 )
 
+// patience is how long the request may wait for a slot. A request that waits for the
+// next slot of a near target costs nothing but its own slack; sent on to a target of
+// another domain it costs bytes between domains, and refused it comes back.
 func (c *call) patience() time.Duration {
-	share := 0.0
-	switch {
-	case c.parent != nil:
-		share = nestedPatience
-	case c.last && c.waits():
-		share = lastPatience
+	if c.parent != nil {
+		return time.Duration(nestedPatience * float64(c.route.Objective()))
 	}
-	return time.Duration(share * float64(c.route.Objective()))
+	return time.Duration(slackPatience * float64(max(c.left()-c.usual(), 0)))
 }
 
-// waits reports whether the request may wait for a slot. Where all targets are
-// full the others are refused at once: those that waited would be late, and the
-// slots that they then take others would have had in time. A download waits at
-// the node's own failure domain, since its bytes cost much on the way to another.
+// left is what is left of the request's objective, below 0 once it is missed.
+func (c *call) left() time.Duration {
+	return c.route.Objective() - c.used - c.handler.parts.Timer.Now().Sub(c.arrived)
+}
+
+// usual is how long a request of the route takes from its sending to its answer.
+func (c *call) usual() time.Duration {
+	return time.Duration(c.handler.times.of(c.route.Name()))
+}
+
+// waits reports whether the request goes to the best target once more when all that
+// were asked are full. A download does, since its bytes cost much on the way to
+// another domain.
 func (c *call) waits() bool {
 	return c.route.Urgent() || c.route.Kind() == bftraffic.Download
 }
