Walks over full targets, and times to come back, follow how often targets take requests

Change: each entry keeps the share of near and of far questions that were taken. Walks last a tenth to two fifths of the objective by it, other domains are asked as often as they take, and callers come back in a third of the time where most are taken. A request waits at a target only where no near one is left to ask, or next to none takes it. The decisions are in lib/bfwalk, pure; lib/bfreplay replays a load through them, bftrial replay prints it.

TestLargeFullFleetRefusesSoon holds the old bound once the entry has learnt that the fleet refuses, and two fifths of the objective before.

--- a/bftrial/internal/bfcommand/command.go
+++ b/bftrial/internal/bfcommand/command.go
@@ -42,6 +42,10 @@
 	seed      int
 	runs      int
 	fleet     int
+	domains   int
+	targets   int
+	perSecond float64
+	burst     float64
 }
 
 // Main runs one subcommand and returns the exit code.
@@ -50,6 +54,7 @@
 		binaries: "bin", directory: "docs/figures", nodes: "10,30,100,200", profiles: "convergence,bytes",
 		idle: 20 * time.Second, changes: 20, objects: 100,
 		shape: "vienna", fault: "none", seconds: 10, seed: 1, runs: 1, fleet: 4, service: 200 * time.Millisecond,
+		domains: 4, targets: 1, perSecond: 150,
 	}
 	parser := flaggy.NewParser("bftrial")
 	parser.Description = "Runs the demo and the measurements with real processes on loopback."
@@ -78,7 +83,17 @@
 	soak.Int(&a.runs, "r", "runs", "How many seeds, one after another.")
 	soak.Int(&a.seconds, "t", "seconds", "How long faults are injected.")
 	soak.Int(&a.fleet, "n", "nodes", "Nodes of the fleet.")
+	replay := flaggy.NewSubcommand("replay")
+	replay.Description = "Replays a load through the decisions in simulated time, each way of deciding on the same callers."
+	replay.Int(&a.seed, "e", "seed", "Seed of the callers.")
+	replay.Int(&a.domains, "d", "domains", "Failure domains.")
+	replay.Int(&a.targets, "n", "targets", "Targets in each domain.")
+	replay.Float64(&a.perSecond, "q", "per-second", "Requests in a second.")
+	replay.Float64(&a.burst, "x", "burst", "How many times as many come in the middle third, 0 for no burst.")
+	replay.Int(&a.seconds, "t", "seconds", "How long callers come.")
+	replay.Duration(&a.service, "w", "service-time", "Mean time of a request at a target.")
 	parser.AttachSubcommand(demo, 1)
+	parser.AttachSubcommand(replay, 1)
 	parser.AttachSubcommand(soak, 1)
 	parser.AttachSubcommand(spike, 1)
 	parser.AttachSubcommand(measure, 1)
@@ -90,6 +105,8 @@
 	switch {
 	case demo.Used:
 		err = bfdemo.Run(a.binaries, out)
+	case replay.Used:
+		err = a.replay(out)
 	case soak.Used:
 		err = a.soak(out)
 	case measure.Used:
--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -9,6 +9,7 @@
 	"bilberryflow.org/lib/bffleet"
 	"bilberryflow.org/lib/bfhost"
 	"bilberryflow.org/lib/bftraffic"
+	"bilberryflow.org/lib/bfwalk"
 )
 
 // call is one caller's request on its way.
@@ -36,6 +37,8 @@
 	ran bfhost.Result
 	// lastTook is how long the newest sending took.
 	lastTook time.Duration
+	// waits says that the request waits at the target that is asked next, if that is full.
+	waits bool
 	// last says that no other target is asked if this one is full.
 	last bool
 }
@@ -63,8 +66,8 @@
 		now := c.handler.parts.Timer.Now()
 		choice := c.handler.parts.Fleet.Pick(c.demand(), now, c.tried)
 		target := choice.Target()
-		done := target == nil || c.askedLong(now, refusal)
-		if done && refusal.Reason == bfhost.Full && !c.last && c.waits() {
+		done := target == nil || c.askedLong(now, refusal) || c.isTooFar(target, refusal)
+		if done && refusal.Reason == bfhost.Full && !c.last && c.asksAgain() {
 			c.last, c.tried = true, nil
 			continue
 		}
@@ -73,6 +76,7 @@
 		}
 		c.tried = append(c.tried, target)
 		c.last = c.last || c.route.Kind() == bftraffic.Download && choice.Full()
+		c.waits = c.last || bfwalk.Waits(choice.Others(), c.handler.near.Of(c.service))
 		end := c.attempt(ctx, target)
 		if refused, ok := end.(bfhost.Refused); ok {
 			refusal = worst(refusal, refused)
@@ -194,9 +198,27 @@
 	}
 	c.lastTook = c.handler.parts.Timer.Now().Sub(began)
 	c.judge(target, end, c.lastTook)
+	c.noteOdds(target, end)
 	return end
 }
 
+// noteOdds counts whether a target that was asked took the request.
+func (c *call) noteOdds(target *bffleet.Target, end bfhost.Result) {
+	refused, is := end.(bfhost.Refused)
+	if is && refused.Reason != bfhost.Full {
+		return
+	}
+	c.oddsOf(target).Note(c.service, !is)
+}
+
+// oddsOf are the odds that are kept for a target's place.
+func (c *call) oddsOf(target *bffleet.Target) *bfwalk.Odds {
+	if c.handler.parts.Fleet.IsFar(target) {
+		return &c.handler.far
+	}
+	return &c.handler.near
+}
+
 func (c *call) judge(target *bffleet.Target, end bfhost.Result, took time.Duration) {
 	now := c.handler.parts.Timer.Now()
 	switch end := end.(type) {
--- a/lib/bfentry/entry_test.go
+++ b/lib/bfentry/entry_test.go
@@ -271,6 +271,15 @@
 	answer, header := m.ask(http.MethodGet, "/look/1", nil)
 	m.Equal(answer, "503 ")
 	m.True(header.Get("Retry-After") != "")
+	// Nothing is known of the fleet: two fifths of 400 ms, and the sending on its way.
+	m.True(asked.Load() <= 9)
+	for m.entry.near.Of("portal") > 0.05 {
+		m.ask(http.MethodGet, "/look/1", nil)
+	}
+	asked.Store(0)
+	answer, header = m.ask(http.MethodGet, "/look/1", nil)
+	m.Equal(answer, "503 ")
+	m.True(header.Get("Retry-After") != "")
 	// A tenth of 400 ms, and the sending that was on its way.
 	m.True(asked.Load() <= 4)
 }
--- a/lib/bfentry/handler.go
+++ b/lib/bfentry/handler.go
@@ -19,6 +19,7 @@
 	"bilberryflow.org/lib/bfretry"
 	"bilberryflow.org/lib/bftimer"
 	"bilberryflow.org/lib/bftraffic"
+	"bilberryflow.org/lib/bfwalk"
 )
 
 // Parts is what a Handler works with.
@@ -53,6 +54,9 @@
 	// answer, mean nanoseconds from a sending to its answer, and mean nanoseconds that
 	// targets run its requests.
 	bytes, times, running means
+	// near and far are how often targets of the own failure domain and of others take
+	// what they are asked for.
+	near, far bfwalk.Odds
 	// attempts are requests that were not served and whose callers may come back.
 	attempts attempts
 	metrics  metrics
--- a/lib/bfentry/policy.go
+++ b/lib/bfentry/policy.go
@@ -5,6 +5,7 @@
 
 	"bilberryflow.org/lib/bfhost"
 	"bilberryflow.org/lib/bftraffic"
+	"bilberryflow.org/lib/bfwalk"
 )
 
 // repeat reports whether this sending would not be there without an earlier one.
@@ -41,24 +42,19 @@
 	return c.parent == nil && float64(objective-left) > freshShare*float64(objective) && c.usual() > left
 }
 
-const (
-	// nestedPatience is the part of its objective for which a nested call waits
-	// for a slot: its parent holds one elsewhere all the while.
-	nestedPatience = 0.5
-	// slackPatience is the part of its slack for which another request waits at the
-	// target that was chosen for it. A tenth of the requests run for more than twice
-	// the mean, so the whole slack would be used up by waiting alone.
-	slackPatience = 0.5
-)
+// nestedPatience is the part of its objective for which a nested call waits for a
+// slot: its parent holds one elsewhere all the while.
+const nestedPatience = 0.5
 
-// patience is how long the request may wait for a slot. A request that waits for the
-// next slot of a near target costs nothing but its own slack; sent on to a target of
-// another domain it costs bytes between domains, and refused it comes back.
+// patience is how long the request may wait for a slot.
 func (c *call) patience() time.Duration {
 	if c.parent != nil {
 		return time.Duration(nestedPatience * float64(c.route.Objective()))
 	}
-	return time.Duration(slackPatience * float64(max(c.left()-c.usual(), 0)))
+	if !c.waits {
+		return 0
+	}
+	return bfwalk.Patience(c.left(), c.usual())
 }
 
 // left is what is left of the request's objective, below 0 once it is missed.
@@ -71,9 +67,9 @@
 	return time.Duration(c.handler.times.of(c.route.Name()))
 }
 
-// waits reports whether the request goes to the best target once more when all that
+// asksAgain reports whether the request goes to the best target once more when all that
 // were asked are full. A download does, since its bytes cost much on the way to
 // another domain.
-func (c *call) waits() bool {
+func (c *call) asksAgain() bool {
 	return c.route.Urgent() || c.route.Kind() == bftraffic.Download
 }
--- a/lib/bffleet/fleet.go
+++ b/lib/bffleet/fleet.go
@@ -117,6 +117,9 @@
 // Holds reports whether the target is that of a present member.
 func (f *Fleet) Holds(t *Target) bool { return f.view.Load().members[t.member.Inbound] == t }
 
+// IsFar reports whether the target is in another failure domain than the node.
+func (f *Fleet) IsFar(t *Target) bool { return t.member.Domain != f.place.Domain }
+
 // Size is the number of members.
 func (f *Fleet) Size() int { return len(f.view.Load().members) }
 
@@ -124,11 +127,16 @@
 type Choice struct {
 	target *Target
 	full   bool
+	// others is how many other targets of the own failure domain were left to choose.
+	others int
 }
 
 // Target is who was chosen, nil where none is left.
 func (c Choice) Target() *Target { return c.target }
 
+// Others is how many other targets of the node's failure domain were left to choose.
+func (c Choice) Others() int { return c.others }
+
 // Full reports whether all slots of the target are believed in use: none that
 // was left to choose has a free one.
 func (c Choice) Full() bool { return c.full }
@@ -151,7 +159,7 @@
 
 func (f *Fleet) pick(demand Demand, now time.Time, tried []*Target, aside bool) Choice {
 	var best Choice
-	bestCost := 0.0
+	bestCost, near := 0.0, 0
 	for _, t := range f.view.Load().services[demand.Service] {
 		if t.probing.Load() || slices.Contains(tried, t) {
 			continue
@@ -159,10 +167,17 @@
 		if !aside && (t.aside(now) || t.surelyFull(f.place.Domain, demand, now)) {
 			continue
 		}
+		if !f.IsFar(t) {
+			near++
+		}
 		cost, full := t.cost(f.place, demand, now)
 		if best.target == nil || cost < bestCost {
-			best, bestCost = Choice{t, full}, cost
+			best, bestCost = Choice{target: t, full: full}, cost
 		}
 	}
+	best.others = near
+	if best.target != nil && !f.IsFar(best.target) {
+		best.others--
+	}
 	return best
 }
--- /dev/null
+++ b/lib/bfreplay/replay.go
@@ -0,0 +1,277 @@
+package bfreplay
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"bilberryflow.org/lib/bffleet"
+	"bilberryflow.org/lib/bfslot"
+	"bilberryflow.org/lib/bfwalk"
+)
+
+// Report is what became of the callers of a load.
+type Report struct {
+	// Callers came; InTime, Late and Refused of them were answered within their
+	// objective, after it, or not at all.
+	Callers, InTime, Late, Refused int
+	// Asks is how often a target was asked, FarAsks how often one of another domain.
+	Asks, FarAsks int
+	// Times are those from a caller's first attempt to its answer, in microseconds.
+	Times *hdrhistogram.Histogram
+}
+
+const (
+	service = "service"
+	// nearWay and farWay are how long a message takes within a domain and to another one.
+	nearWay = 200 * time.Microsecond
+	farWay  = 700 * time.Microsecond
+	// longestMicro bounds the times that are told apart.
+	longestMicro = int64(time.Minute / time.Microsecond)
+)
+
+// Run replays a load.
+func Run(load Load, ways Ways) Report {
+	w := newWorld(load, ways)
+	for _, a := range load.arrivals() {
+		w.report.Callers++
+		w.after(a.at, func() {
+			w.ask(&caller{arrival: a, began: w.now, deadline: w.now.Add(load.Deadline), retries: load.Retries, attempt: w.now})
+		})
+	}
+	for w.events.Len() > 0 {
+		next := heap.Pop(&w.events).(*event)
+		w.now = next.at
+		next.do()
+	}
+	return w.report
+}
+
+// world is one replay.
+type world struct {
+	load    Load
+	ways    Ways
+	now     time.Time
+	order   uint64
+	events  events
+	entries []*entry
+	targets map[string]*target
+	report  Report
+}
+
+// entry is a node that callers come to; there is one beside each target.
+type entry struct {
+	fleet *bffleet.Fleet
+	odds  bfwalk.Odds
+	far   bfwalk.Odds
+	// usual is the mean time from a sending to its answer.
+	usual time.Duration
+}
+
+// target is a target with the queue of its node.
+type target struct {
+	speed float64
+	queue *bfslot.Queue
+	// granted starts those that got a slot.
+	granted map[*bfslot.Ticket]func()
+}
+
+// caller is one caller in one of its attempts.
+type caller struct {
+	arrival
+	began, deadline time.Time
+	retries         int
+	// attempt is when this attempt began, tried the targets that it asked.
+	attempt time.Time
+	tried   []*bffleet.Target
+	full    bool
+}
+
+func newWorld(load Load, ways Ways) *world {
+	w := &world{load: load, ways: ways, now: time.Unix(0, 0), targets: map[string]*target{}}
+	w.report.Times = hdrhistogram.New(1, longestMicro, 2)
+	var members []bffleet.Member
+	for domain := range load.Domains {
+		for at, speed := range load.Speeds {
+			inbound := fmt.Sprintf("10.0.%d.%d:1", domain, at+1)
+			members = append(members, bffleet.Member{Inbound: inbound, Service: service, Domain: fmt.Sprint("domain-", domain), Slots: load.Slots})
+			w.targets[inbound] = &target{speed: speed, queue: bfslot.NewQueue(load.Slots), granted: map[*bfslot.Ticket]func(){}}
+		}
+	}
+	for _, m := range members {
+		fleet := bffleet.New(bffleet.Place{Inbound: m.Inbound, Domain: m.Domain})
+		fleet.Replace(members)
+		w.entries = append(w.entries, &entry{fleet: fleet})
+	}
+	return w
+}
+
+// entryOf is the node that a caller comes to.
+func (w *world) entryOf(c *caller) *entry {
+	perDomain := len(w.load.Speeds)
+	return w.entries[c.domain*perDomain+int(c.running)%perDomain]
+}
+
+// ask has a caller's request go to the next target.
+func (w *world) ask(c *caller) {
+	e := w.entryOf(c)
+	left := w.load.Objective - w.now.Sub(c.began)
+	demand := bffleet.Demand{
+		Service: service, Bytes: 1500, Usual: e.usual, Running: w.load.Running, Objective: w.load.Objective, Left: left,
+	}
+	choice := e.fleet.Pick(demand, w.now, c.tried)
+	chosen := choice.Target()
+	if chosen == nil || c.full && w.isDone(e, c, chosen) {
+		w.refuse(e, c)
+		return
+	}
+	c.tried = append(c.tried, chosen)
+	way := nearWay
+	w.report.Asks++
+	if e.fleet.IsFar(chosen) {
+		way = farWay
+		w.report.FarAsks++
+	}
+	request := bfslot.Request{Late: left < e.usual}
+	if w.ways.Wait && (!w.ways.ByOdds || bfwalk.Waits(choice.Others(), e.odds.Of(service))) {
+		request.Patience = bfwalk.Patience(left, e.usual)
+	}
+	chosen.Begin()
+	w.after(way, func() { w.enter(c, chosen, request, way) })
+}
+
+// isDone reports whether a request that was refused asks nobody else.
+func (w *world) isDone(e *entry, c *caller, next *bffleet.Target) bool {
+	odds := 0.0
+	if w.ways.ByOdds {
+		odds = e.odds.Of(service)
+		if e.fleet.IsFar(next) && !bfwalk.GoesFar(e.far.Of(service), rand.Float64()) {
+			return true
+		}
+	}
+	return w.now.Sub(c.attempt) > bfwalk.Longest(w.load.Objective, odds)
+}
+
+// enter has a request ask for a slot.
+func (w *world) enter(c *caller, at *bffleet.Target, request bfslot.Request, way time.Duration) {
+	t := w.targets[at.Member().Inbound]
+	ticket, err := t.queue.Enter(request)
+	var full *bfslot.FullError
+	switch {
+	case errors.As(err, &full):
+		w.after(way, func() { w.turnedAway(c, at) })
+	case ticket == nil:
+		w.run(c, at, way)
+	default:
+		t.granted[ticket] = func() { w.run(c, at, way) }
+		w.after(request.Patience, func() {
+			if t.queue.Leave(ticket) {
+				w.after(way, func() { w.turnedAway(c, at) })
+			}
+		})
+	}
+}
+
+// run has the target run a request.
+func (w *world) run(c *caller, at *bffleet.Target, way time.Duration) {
+	t := w.targets[at.Member().Inbound]
+	length := time.Duration(float64(c.running) * t.speed)
+	w.after(length, func() {
+		for _, ticket := range t.queue.Release(service, length) {
+			t.granted[ticket]()
+			delete(t.granted, ticket)
+		}
+		w.after(way, func() { w.answered(c, at) })
+	})
+}
+
+// hear takes what an answer tells of its target.
+func (w *world) hear(e *entry, at *bffleet.Target, took bool) {
+	t := w.targets[at.Member().Inbound]
+	used, slots := t.queue.Load()
+	at.Told(used, slots, w.now)
+	at.ToldTrack(0, t.speed, w.now)
+	at.End()
+	odds := &e.odds
+	if e.fleet.IsFar(at) {
+		odds = &e.far
+	}
+	odds.Note(service, took)
+}
+
+func (w *world) turnedAway(c *caller, at *bffleet.Target) {
+	c.full = true
+	w.hear(w.entryOf(c), at, false)
+	w.ask(c)
+}
+
+func (w *world) answered(c *caller, at *bffleet.Target) {
+	e := w.entryOf(c)
+	w.hear(e, at, true)
+	const learnShare = 10
+	e.usual += (w.now.Sub(c.attempt) - e.usual) / learnShare
+	took := w.now.Sub(c.began)
+	// The time was clamped to the histogram's range, the one thing it refuses.
+	_ = w.report.Times.RecordValue(min(max(took.Microseconds(), 1), longestMicro))
+	if took <= w.load.Objective {
+		w.report.InTime++
+		return
+	}
+	w.report.Late++
+}
+
+// refuse tells the caller when to come back; one that has no more time does not.
+func (w *world) refuse(e *entry, c *caller) {
+	odds := 0.0
+	if w.ways.ByOdds {
+		odds = e.odds.Of(service)
+	}
+	refused := bfwalk.Refused{Objective: w.load.Objective, Used: c.attempt.Sub(c.began), Left: c.deadline.Sub(w.now)}
+	pause := refused.ComeBack(odds, rand.Float64())
+	if c.retries == 0 || w.now.Add(pause).After(c.deadline) {
+		w.report.Refused++
+		return
+	}
+	w.after(pause, func() {
+		again := &caller{arrival: c.arrival, began: c.began, deadline: c.deadline, retries: c.retries - 1, attempt: w.now}
+		w.ask(again)
+	})
+}
+
+// event is something that happens at a time.
+type event struct {
+	at    time.Time
+	order uint64
+	do    func()
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.order++
+	heap.Push(&w.events, &event{at: w.now.Add(d), order: w.order, do: do})
+}
+
+type events []*event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if e[i].at.Equal(e[j].at) {
+		return e[i].order < e[j].order
+	}
+	return e[i].at.Before(e[j].at)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push is for container/heap only.
+func (e *events) Push(x any) { *e = append(*e, x.(*event)) }
+
+// Pop is for container/heap only.
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
