--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"log/slog"
 	"maps"
 	"net"
@@ -225,10 +226,11 @@
 func (n *node) listen() ([]transport.Server, error) {
 	ready := http.NewServeMux()
 	ready.Handle("GET "+bfdialect.ReadyPath, &n.ready)
-	ports := []struct {
+	type port struct {
 		name, address string
 		handler       http.Handler
-	}{
+	}
+	ports := []port{
 		{"inbound", n.common.Inbound, bfhost.NewInbound(n.host, n.pacer)},
 		{"target", n.common.Target, bfdialect.Reports{Heard: n.host.Heard, Left: n.host.Left, Refused: n.reportRefused}},
 		{"operator", n.common.Operator, bfoperator.NewOpen(n.inspector())},
@@ -243,6 +245,11 @@
 	}
 	n.callers = callers
 	servers := []transport.Server{callers}
+	if n.settings.Metrics != "" {
+		metrics := http.NewServeMux()
+		metrics.Handle("GET /debug/vars", expvar.Handler())
+		ports = append(ports, port{"metrics", n.settings.Metrics, metrics})
+	}
 	for _, port := range ports {
 		server, err := bfserver.Listen(port.name, port.address, port.handler, nil)
 		if err != nil {
--- a/bfnode/internal/bfmesh/settings.go
+++ b/bfnode/internal/bfmesh/settings.go
@@ -10,6 +10,7 @@
 // Mesh is the part of a node's settings that only such a node has.
 type Mesh struct {
 	Ready    string              `json:"ready" jsonschema:"minLength=1,description=Port on which the platform asks whether the node takes callers."`
+	Metrics  string              `json:"metrics,omitempty" jsonschema:"description=Port that shows /debug/vars beside the operator port, empty for none."`
 	Grace    bfsettings.Duration `json:"grace" jsonschema:"description=Time from SIGTERM to SIGKILL."`
 	LinkMbps float64             `json:"linkMbps" jsonschema:"exclusiveMinimum=0,maximum=1000000,description=Bandwidth of the machine's link in Mbit/s."`
 	Repeats  Repeats             `json:"repeats" jsonschema:"description=Bound of the repeats that all nodes together send to a service."`
@@ -57,7 +58,7 @@
 // Example shows every field.
 func Example() Mesh {
 	return Mesh{
-		Ready: "127.0.0.1:7805", Grace: bfsettings.Duration(6 * time.Second), LinkMbps: 1000,
+		Ready: "127.0.0.1:7805", Metrics: "127.0.0.1:7806", Grace: bfsettings.Duration(6 * time.Second), LinkMbps: 1000,
 		Repeats: Repeats{Ratio: 0.2, Slack: 64, Window: bfsettings.Duration(10 * time.Second)},
 	}
 }
--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -208,6 +208,7 @@
 	if is && refused.Reason != bfhost.Full {
 		return
 	}
+	c.handler.metrics.asked(c.handler.parts.Fleet.IsFar(target), is)
 	c.oddsOf(target).Note(c.service, !is)
 }
 
--- a/lib/bfentry/metrics.go
+++ b/lib/bfentry/metrics.go
@@ -27,6 +27,20 @@
 	m.latency.Observe(c.route.Name()+" "+outcome, now.Sub(c.arrived))
 }
 
+// asked counts a question to a target by its place and whether it was refused.
+func (m metrics) asked(far, refused bool) {
+	name := "taken_near"
+	switch {
+	case far && refused:
+		name = "refused_far"
+	case far:
+		name = "taken_far"
+	case refused:
+		name = "refused_near"
+	}
+	m.registry.Counter(name).Add(1)
+}
+
 func outcomeName(end bfhost.Result) string {
 	switch end := end.(type) {
 	case bfhost.Answered:
