--- a/lib/bffleet/target.go
+++ b/lib/bffleet/target.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync/atomic"
 	"time"
+
+	"bilberryflow.org/lib/bfshare"
 )
 
 // Target is one member's target as requests are sent to it.
@@ -18,8 +20,8 @@
 	backlog atomic.Pointer[toldBacklog]
 	// away is how the target is set aside, nil while it takes work.
 	away atomic.Pointer[absence]
-	// failing is the share of recent answers that were failures, in 1/65536.
-	failing atomic.Uint32
+	// failing is the share of recent answers that were failures.
+	failing bfshare.Share
 	// judged is when the last answer was counted, in nanoseconds since 1970.
 	judged atomic.Int64
 	// track is how the target fares by its node's word.
@@ -139,22 +141,13 @@
 	return away != nil && now.Before(away.until)
 }
 
-// failureWeight is how much one answer counts in the share of failures: about the last 16 decide.
-const failureWeight = 16
-
+// whole is 1 in the unit in which slowness is held.
 const whole = 1 << 16
 
 // Judge counts an answer as a success or a failure of the target's own.
 func (t *Target) Judge(failed bool, now time.Time) {
 	t.judged.Store(now.UnixNano())
-	before := t.failing.Load()
-	after := before - before/failureWeight
-	if failed {
-		after += whole / failureWeight
-	}
-	if after != before {
-		t.failing.CompareAndSwap(before, after)
-	}
+	t.failing.Note(failed)
 }
 
 // pardon is how fast failures lose their weight while no answer comes. A target
@@ -166,7 +159,7 @@
 func (t *Target) failure(now time.Time) float64 {
 	// The time of day may have jumped back since.
 	age := max(now.UnixNano()-t.judged.Load(), 0)
-	seen := float64(t.failing.Load()) / whole * math.Exp(-float64(age)/float64(pardon))
+	seen := t.failing.Value() * math.Exp(-float64(age)/float64(pardon))
 	told := t.track.Load()
 	if told == nil {
 		return seen
--- a/lib/bfhost/track.go
+++ b/lib/bfhost/track.go
@@ -4,10 +4,10 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"bilberryflow.org/lib/bfheader"
+	"bilberryflow.org/lib/bfshare"
 )
 
 // Track is how a target has fared lately, as its node saw it.
@@ -18,45 +18,23 @@
 	Running time.Duration
 }
 
-// failing is a share of recent requests; its zero value is 0.
-type failing struct{ share atomic.Uint32 }
-
-const (
-	// failingWeight is how much one request counts in the share: about the last 16
-	// decide, which is less than a second of a busy target.
-	failingWeight = 16
-	wholeShare    = 1 << 16
-)
-
-func (f *failing) count(failed bool) {
-	for {
-		before := f.share.Load()
-		after := before - before/failingWeight
-		if failed {
-			after += wholeShare / failingWeight
-		}
-		if f.share.CompareAndSwap(before, after) {
-			return
-		}
-	}
-}
-
-func (f *failing) value() float64 { return float64(f.share.Load()) / wholeShare }
+// failing is the share of recent requests that the target failed; its zero value is 0.
+type failing struct{ bfshare.Share }
 
 // judge counts the end of a job that was handed to the target.
 func (f *failing) judge(end Result) {
 	switch end := end.(type) {
 	case Answered:
-		f.count(end.Answer.Status >= http.StatusInternalServerError)
+		f.Note(end.Answer.Status >= http.StatusInternalServerError)
 	case Shed, Lost:
-		f.count(true)
+		f.Note(true)
 	case Refused, Expired:
 	}
 }
 
 // Track is how the target fares, with the running time of a class.
 func (h *Host) Track(class string) Track {
-	return Track{Failing: h.failing.value(), Running: h.gate.Running(class)}
+	return Track{Failing: h.failing.Value(), Running: h.gate.Running(class)}
 }
 
 // WriteTrack tells another node how the target fares.
--- a/lib/bfwalk/odds.go
+++ b/lib/bfwalk/odds.go
@@ -2,7 +2,8 @@
 
 import (
 	"sync"
-	"sync/atomic"
+
+	"bilberryflow.org/lib/bfshare"
 )
 
 // Odds holds, for each service, how often targets that were asked lately took the
@@ -14,42 +15,16 @@
 // work, and each further question takes the time of all for next to nothing.
 type Odds struct{ byService sync.Map }
 
-// share is a share of recent questions, in 1/65536.
-type share struct{ value atomic.Uint32 }
-
-const (
-	// oddsWeight is how much one question counts: about the last 16 decide, which an
-	// entry of a large fleet asks in about a second.
-	oddsWeight = 16
-	wholeOdds  = 1 << 16
-)
-
 // Note counts a question to a target of the service.
-func (o *Odds) Note(service string, took bool) {
-	held := o.share(service)
-	for {
-		before := held.value.Load()
-		after := before - before/oddsWeight
-		if took {
-			after += wholeOdds / oddsWeight
-		}
-		if held.value.CompareAndSwap(before, after) {
-			return
-		}
-	}
-}
+func (o *Odds) Note(service string, took bool) { o.share(service).Note(took) }
 
 // Of is the share of questions that were taken, 1 before the first.
-func (o *Odds) Of(service string) float64 {
-	return min(float64(o.share(service).value.Load())/wholeOdds, 1)
-}
+func (o *Odds) Of(service string) float64 { return o.share(service).Value() }
 
-func (o *Odds) share(service string) *share {
-	if held, found := o.byService.Load(service); found {
-		return held.(*share)
+func (o *Odds) share(service string) *bfshare.Share {
+	held, found := o.byService.Load(service)
+	if !found {
+		held, _ = o.byService.LoadOrStore(service, bfshare.Full())
 	}
-	fresh := &share{}
-	fresh.value.Store(wholeOdds)
-	held, _ := o.byService.LoadOrStore(service, fresh)
-	return held.(*share)
+	return held.(*bfshare.Share)
 }
