A half header does not end the requests before it

Cause, found by reading: the time of a header that is never finished ended the whole connection, and cancelled requests of the same caller that were running. They are answered now; the last answer says that the connection ends. TestHalfHeaderDoesNotEndWhatRuns fails without.

--- a/lib/bfpipeline/connection.go
+++ b/lib/bfpipeline/connection.go
@@ -92,6 +92,7 @@
 		switch {
 		case err == nil, errors.Is(err, os.ErrDeadlineExceeded):
 		case errors.Is(err, bufio.ErrBufferFull):
+			// No more is held; what comes behind it is seen once a request has ended.
 			<-c.changed
 		default:
 			return err
@@ -145,7 +146,10 @@
 	switch {
 	case c.limited.hit:
 		return c.refused(http.StatusRequestHeaderFieldsTooLarge), nil
-	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, io.ErrUnexpectedEOF), isReset(err):
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		// The caller is there still, and waits for what it asked before.
+		return nil, errEnded
+	case errors.Is(err, io.ErrUnexpectedEOF), isReset(err):
 		return nil, err
 	case err != nil, !sound(request):
 		return c.refused(http.StatusBadRequest), nil
--- a/lib/bfpipeline/pipeline_test.go
+++ b/lib/bfpipeline/pipeline_test.go
@@ -340,6 +340,22 @@
 	}
 }
 
+// A caller sends half of a header behind a request that takes its time. The header's
+// time ends first; the request goes on, and its answer tells that the connection ends.
+func TestHalfHeaderDoesNotEndWhatRuns(t *testing.T) {
+	s := newScript()
+	p := serve(t, s, Limits{HeaderTimeout: 50 * time.Millisecond})
+	p.send(get("/1") + "GET /2 HTTP/1.1\r\n")
+	p.Equal(within(s.began, time.Second), "/1")
+	p.Equal(within(s.gone, 200*time.Millisecond), "")
+	close(s.gate("/1"))
+	body, h := p.answer()
+	p.Equal(body, "answer of /1")
+	p.True(h.closes)
+	body, _ = p.answer()
+	p.Equal(body, "")
+}
+
 // A body in chunks says its length only at its end. One that passes the bound breaks
 // off at the handler, however long it goes on.
 func TestChunkedBodyIsBounded(t *testing.T) {
