--- a/lib/bffleet/cost.go
+++ b/lib/bffleet/cost.go
@@ -52,23 +52,12 @@
 	linkWaitCost = 8
 	// longAnswer is the number of bytes from which an answer waits for its node's link.
 	longAnswer = 16 << 10
-	// fullShare is the part of a request's mean time for which a full target in
-	// another domain is not asked again. Of about ten slots one or two are free by
-	// then, and its own domain is nearer to them.
-	fullShare = 0.25
 	// probeInterval is how often a target of which nothing was ever heard is chosen
 	// all the same: a new one in another domain would else get no work. What was
 	// heard of the others is not refreshed by requests that the own domain has room for.
 	probeInterval = time.Second
 )
 
-// surelyFull reports whether a target in another domain said moments ago that it
-// has no free slot. To ask it again costs bytes between domains for next to no chance.
-func (t *Target) surelyFull(domain string, demand Demand, now time.Time) bool {
-	told := t.told.Load()
-	return t.member.Domain != domain && told != nil && told.used >= told.slots && float64(now.Sub(told.when)) < fullShare*float64(demand.Usual)
-}
-
 // cost is what a request is expected to lose at the target; full says that all its
 // slots are believed in use.
 func (t *Target) cost(place Place, demand Demand, now time.Time) (cost float64, full bool) {
--- a/lib/bffleet/fleet.go
+++ b/lib/bffleet/fleet.go
@@ -164,7 +164,7 @@
 		if t.probing.Load() || slices.Contains(tried, t) {
 			continue
 		}
-		if !aside && (t.aside(now) || t.surelyFull(f.place.Domain, demand, now)) {
+		if !aside && t.aside(now) {
 			continue
 		}
 		if !f.IsFar(t) {
