Replays come out the same each time

Change: a fleet may be given its source of chance and keeps a service's targets in order; replays draw from their seed.

--- a/lib/bffleet/cost.go
+++ b/lib/bffleet/cost.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"time"
 )
 
@@ -59,13 +58,13 @@
 )
 
 // cost is what a request is expected to lose at the target; full says that all its
-// slots are believed in use.
-func (t *Target) cost(place Place, demand Demand, now time.Time) (cost float64, full bool) {
+// slots are believed in use. Chance is a random number from 0 to 1.
+func (t *Target) cost(place Place, demand Demand, now time.Time, chance float64) (cost float64, full bool) {
 	load := t.load(now)
 	run := time.Duration(float64(demand.running()) * t.slow())
 	wait := time.Duration(max(load-1, 0) * float64(run))
 	cost = lateCost*demand.lateness(wait*waitWeight, run) + failingCost*t.failure(now)
-	cost += loadCost*min(load, 1) + jitter*rand.Float64()
+	cost += loadCost*min(load, 1) + jitter*chance
 	return cost + t.wayCost(place, demand, now), load > 1
 }
 
--- a/lib/bffleet/fleet.go
+++ b/lib/bffleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,8 @@
 // Fleet is the members that a node knows.
 type Fleet struct {
 	place Place
+	// chance gives random numbers from 0 to 1.
+	chance func() float64
 
 	mu   sync.Mutex
 	view atomic.Pointer[view]
@@ -33,8 +36,12 @@
 }
 
 // New makes the empty fleet of a node.
-func New(place Place) *Fleet {
-	f := &Fleet{place: place}
+func New(place Place) *Fleet { return NewWithChance(place, rand.Float64) }
+
+// NewWithChance is New with a source of random numbers from 0 to 1, for replays that
+// are to come out the same each time.
+func NewWithChance(place Place, chance func() float64) *Fleet {
+	f := &Fleet{place: place, chance: chance}
 	f.view.Store(&view{})
 	return f
 }
@@ -78,7 +85,8 @@
 	next := &view{members: map[string]*Target{}, services: map[string][]*Target{}}
 	maps.Copy(next.members, f.view.Load().members)
 	next.members = change(next.members)
-	for _, t := range next.members {
+	for _, inbound := range slices.Sorted(maps.Keys(next.members)) {
+		t := next.members[inbound]
 		next.services[t.member.Service] = append(next.services[t.member.Service], t)
 	}
 	f.view.Store(next)
@@ -170,7 +178,7 @@
 		if !f.IsFar(t) {
 			near++
 		}
-		cost, full := t.cost(f.place, demand, now)
+		cost, full := t.cost(f.place, demand, now, f.chance())
 		if best.target == nil || cost < bestCost {
 			best, bestCost = Choice{target: t, full: full}, cost
 		}
--- a/lib/bfreplay/replay.go
+++ b/lib/bfreplay/replay.go
@@ -61,6 +61,8 @@
 	entries []*entry
 	targets map[string]*target
 	report  Report
+	// random is drawn from in the order of events, which is the same each time.
+	random *rand.Rand
 }
 
 // entry is a node that callers come to; there is one beside each target.
@@ -92,7 +94,7 @@
 }
 
 func newWorld(load Load, ways Ways) *world {
-	w := &world{load: load, ways: ways, now: time.Unix(0, 0), targets: map[string]*target{}}
+	w := &world{load: load, ways: ways, now: time.Unix(0, 0), targets: map[string]*target{}, random: rand.New(rand.NewPCG(load.Seed, ^load.Seed))}
 	w.report.Times = hdrhistogram.New(1, longestMicro, 2)
 	var members []bffleet.Member
 	for domain := range load.Domains {
@@ -103,7 +105,7 @@
 		}
 	}
 	for _, m := range members {
-		fleet := bffleet.New(bffleet.Place{Inbound: m.Inbound, Domain: m.Domain})
+		fleet := bffleet.NewWithChance(bffleet.Place{Inbound: m.Inbound, Domain: m.Domain}, w.random.Float64)
 		fleet.Replace(members)
 		w.entries = append(w.entries, &entry{fleet: fleet})
 	}
@@ -149,7 +151,7 @@
 	odds := 0.0
 	if w.ways.ByOdds {
 		odds = e.odds.Of(service)
-		if e.fleet.IsFar(next) && !bfwalk.GoesFar(e.far.Of(service), rand.Float64()) {
+		if e.fleet.IsFar(next) && !bfwalk.GoesFar(e.far.Of(service), w.random.Float64()) {
 			return true
 		}
 	}
@@ -231,7 +233,7 @@
 		odds = e.odds.Of(service)
 	}
 	refused := bfwalk.Refused{Objective: w.load.Objective, Used: c.attempt.Sub(c.began), Left: c.deadline.Sub(w.now)}
-	pause := refused.ComeBack(odds, rand.Float64())
+	pause := refused.ComeBack(odds, w.random.Float64())
 	if c.retries == 0 || w.now.Add(pause).After(c.deadline) {
 		w.report.Refused++
 		return
