A connection with more requests than the bound is not left silent

Cause: the reading goroutine waits for an end of a request and is woken by a read deadline in the past; where the last end came before it ran, the idle time that this end set took the wake back, and the reader slept with whole requests read. Not the load: it makes the order likely.

--- a/lib/bfpipeline/connection.go
+++ b/lib/bfpipeline/connection.go
@@ -36,6 +36,10 @@
 	// awaiting says that the reading goroutine waits for bytes, and may be woken by
 	// the connection's read deadline.
 	awaiting bool
+	// held says that it found the next request to have to wait. Each end of a request
+	// wakes it until it has looked again: a wake that the next end took back, by the idle
+	// time that it set, left a connection with more requests than the bound silent.
+	held bool
 	// changed is signalled when a request ends.
 	changed chan struct{}
 }
@@ -113,7 +117,8 @@
 			return false, errEnded
 		}
 	}
-	return c.holds(), c.conn.SetReadDeadline(deadline)
+	c.held = c.holds()
+	return c.held, c.conn.SetReadDeadline(deadline)
 }
 
 // holds reports whether the next request has to wait for one that is in flight; it needs the lock.
@@ -212,7 +217,6 @@
 func (c *connection) ended(e *exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	held := c.holds()
 	c.inFlight--
 	if e.beside {
 		c.server.beside.Add(-1)
@@ -226,7 +230,7 @@
 	}
 	switch {
 	case !c.awaiting:
-	case held:
+	case c.held:
 		c.wake()
 	case c.inFlight == 0:
 		// The reading goroutine need not wake for it: its read goes on until then.
