Hurried callers are judged by the clock, not by their context alone

On a busy machine the connection of a caller that gives a millisecond ends at its deadline before the context of the same deadline is woken; the end was counted against the target, and five in a row set it aside. Found by printing each end that was judged broken: 399 of 6,000 hurried callers beside 16 busy processes, all of them past their deadline with a context that told of no end; the test failed then. Ruled out: refusals of the home.

After: the test passes 200 runs beside the same load (before: failed in its first run there). TestHurriedCallerIsOverBeforeItsContextSaysSo fails without the change.

--- a/lib/bfcaller/judge.go
+++ b/lib/bfcaller/judge.go
@@ -38,18 +38,27 @@
 }
 
 // judge says what the end tells about the target.
+//
+// A caller that leaves, or gives a millisecond, shows nothing about the target: a
+// stream of them would have every target set aside.
 func (s *sending) judge(end ended) bfchoice.Result {
 	if s.answered(end) {
 		return bfchoice.Answered
 	}
-	// A caller that leaves, or gives a millisecond, shows nothing about the
-	// target: a stream of them would have every target set aside.
-	if cause := s.caller.Err(); errors.Is(cause, context.Canceled) || cause != nil && s.call.hurried {
+	if errors.Is(s.caller.Err(), context.Canceled) || s.call.hurried && s.isOver() {
 		return bfchoice.Cancelled
 	}
 	return bfchoice.Broken
 }
 
+// isOver reports whether the caller's time is over. On a busy machine a connection meets
+// its deadline a while before the context with the same deadline says so: of 6,000
+// callers that gave a millisecond, beside 16 busy processes, 399 had a target counted
+// as broken by the context's word alone.
+func (s *sending) isOver() bool {
+	return s.caller.Err() != nil || !s.call.entry.parts.Timer.Now().Before(s.call.deadline)
+}
+
 func (s *sending) answered(end ended) bool {
 	settled, isSettled := end.(settled)
 	if !isSettled {
