A stopping entry takes nothing that may outlast it

Ruled out: a second signal (none came), an exit before its time.

Change: from the stop on, a caller's request is refused at once where five times its route's usual time is more than the node has left. Callers find other nodes.

The test failed without it.

--- a/bfnode/internal/bfmesh/stop.go
+++ b/bfnode/internal/bfmesh/stop.go
@@ -44,7 +44,7 @@
 	began := n.timer.Now()
 	last := time.Duration(lastShare * float64(n.settings.Grace.Std()))
 	n.ready.leaving.Store(true)
-	n.entry.Leave()
+	n.entry.Leave(began.Add(last))
 	for {
 		passed := n.timer.Now().Sub(began)
 		if passed > leaveAfter {
--- a/lib/bfentry/entry_test.go
+++ b/lib/bfentry/entry_test.go
@@ -415,7 +415,7 @@
 // later it takes nothing more.
 func TestStoppingEntry(t *testing.T) {
 	m := newMesh(t, generous, hello)
-	m.entry.Leave()
+	m.entry.Leave(time.Now().Add(time.Minute))
 	status, last := m.raw("GET /look/1 HTTP/1.1\r\nHost: h.example\r\n" + names.RequestID + ": 1\r\n\r\n")
 	m.Equal(status, http.StatusOK)
 	m.True(last)
@@ -425,6 +425,30 @@
 	m.Equal(m.runs(), int32(1))
 }
 
+// A node stops, and a request of a kind that runs long comes on a kept connection. Taken,
+// it would still be at its target when the process exits, and the caller would see its
+// connection cut. It is refused at once, has not run, and its caller finds another node;
+// requests that are answered long before the exit are served on.
+func TestStoppingEntryTakesNothingThatMayOutlastIt(t *testing.T) {
+	m := newMesh(t, generous, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/approve/") {
+			time.Sleep(100 * time.Millisecond)
+		}
+		hello(w, r)
+	})
+	for _, path := range []string{"/look/1", "/approve/1"} {
+		answer, _ := m.ask(http.MethodPost, path, nil)
+		m.Equal(answer, "200 hello")
+	}
+	m.entry.Leave(time.Now().Add(400 * time.Millisecond))
+	answer, header := m.ask(http.MethodPost, "/approve/2", nil)
+	m.Equal(answer, "503 ")
+	m.Equal(header.Get("Retry-After"), "0.020")
+	m.Equal(m.runs(), int32(2))
+	answer, _ = m.ask(http.MethodPost, "/look/2", nil)
+	m.Equal(answer, "200 hello")
+}
+
 // raw sends a request as it stands, and gives the answer's status and whether it
 // is the last on its connection.
 func (m *mesh) raw(request string) (status int, last bool) {
--- a/lib/bfentry/handler.go
+++ b/lib/bfentry/handler.go
@@ -62,8 +62,10 @@
 	metrics  metrics
 	// active is how many requests are in progress.
 	active atomic.Int64
-	// leaving has callers told to come back on a new connection, closed that nothing more is taken.
-	leaving, closed atomic.Bool
+	// exits is when the node that is stopping exits at the latest, nil while it is not;
+	// closed says that it takes nothing more.
+	exits  atomic.Pointer[time.Time]
+	closed atomic.Bool
 }
 
 // New makes the handler of the callers' port.
@@ -74,8 +76,9 @@
 // Active is how many requests are in progress.
 func (h *Handler) Active() int64 { return h.active.Load() }
 
-// Leave has every answer close its connection.
-func (h *Handler) Leave() { h.leaving.Store(true) }
+// Leave has every answer close its connection, and no request taken that may run for
+// longer than until the node exits.
+func (h *Handler) Leave(exits time.Time) { h.exits.Store(&exits) }
 
 // Close refuses callers' requests from now on. Nested calls of what the target
 // beside this node still runs go on: refused, their parents would fail.
@@ -98,12 +101,16 @@
 // node that starts has one within a few exchanges with the store.
 const startingPause = 300 * time.Millisecond
 
+// leavingPause is when to come back to a node that is stopping: at once, since others
+// take the request, but for what a new connection takes.
+const leavingPause = 20 * time.Millisecond
+
 // ServeHTTP takes one request to its end.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := h.parts.Timer.Now()
 	h.active.Add(1)
 	defer h.active.Add(-1)
-	if h.leaving.Load() {
+	if h.exits.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	traffic := h.parts.Traffic.Current()
@@ -132,9 +139,21 @@
 		http.Error(w, "unreadable request: "+err.Error(), http.StatusBadRequest)
 		return
 	}
+	if c.outlasts(now) {
+		refuse(w, leavingPause)
+		return
+	}
 	h.serve(w, r, c)
 }
 
+// outlasts reports whether the request may run for longer than the node that is
+// stopping. Its caller is told at once to come back, and finds another node; taken, the
+// request would be cut off at its target when the process exits.
+func (c *call) outlasts(now time.Time) bool {
+	exits := c.handler.exits.Load()
+	return exits != nil && c.parent == nil && !bfwalk.FitsIn(exits.Sub(now), c.usual())
+}
+
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, c *call) {
 	ctx := r.Context()
 	if !c.route.Kind().Repeatable() {
--- a/lib/bfwalk/walk.go
+++ b/lib/bfwalk/walk.go
@@ -89,3 +89,11 @@
 	}
 	return time.Duration(float64(r.Left) * (lateShare + lateSpread*chance))
 }
+
+// longTail is how many times its usual time a request may run: of times whose logarithms
+// have a deviation of 0.8, one in a hundred is longer than five times the mean.
+const longTail = 5
+
+// FitsIn reports whether a request that usually takes some time is answered in what is
+// left, but for one in a hundred.
+func FitsIn(left, usual time.Duration) bool { return longTail*usual <= left }
