A node that is started again recalls its target from its own row

Cause: after a kill, a planned stop or a restart a node knows nothing of its target until the target's next heartbeat (every 1.5 s).

Change: a member's row also holds its target's incarnation, start and address. A node that finds its own row, in the store or in a peer's list, believes it for 2 s until the target speaks. Weighed: asking the target's health endpoint (a connection and a probe at each start, and the answer may be false). The incarnation goes with each request, so another target at the address refuses; a row whose target is on another machine is not believed.

The row's value in TestPlannedStopKeepsTheRow has the new fields.

--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -135,7 +135,7 @@
 	})
 	n.state = &state{
 		logger: n.logger, traffic: n.traffic, fleet: n.fleet, presence: n.presence, self: n.common.Inbound,
-		answers: n.answers, current: n.current, changed: func() { n.news.Changed() },
+		answers: n.answers, current: n.current, changed: func() { n.news.Changed() }, recall: n.recall,
 	}
 	n.config = bffollow.New(bffollow.Parts{
 		Table: bfdialect.ConfigurationTable, Rows: store, Apply: n.state.applyConfiguration, Gather: gatherVersions,
@@ -200,6 +200,10 @@
 	member := bffleet.Member{
 		Inbound: n.common.Inbound, Peer: n.common.Peer, Service: n.common.Service,
 		Domain: n.common.FailureDomain, Slots: target.Slots(), LinkMbps: int(n.settings.LinkMbps), Instance: n.common.Instance,
+		Incarnation: target.Incarnation(), Address: target.Address(),
+	}
+	if started := target.Started(); !started.IsZero() {
+		member.StartedMilli = started.UnixMilli()
 	}
 	value, err := member.Encode()
 	if err != nil {
@@ -209,6 +213,17 @@
 	n.presence.Want(value)
 }
 
+// recall has the host believe what this node's own row tells of its target.
+func (n *node) recall(own bffleet.Member) {
+	if !own.HasTarget() {
+		return
+	}
+	n.host.Recall(bfhost.Heartbeat{
+		Incarnation: own.Incarnation, Started: own.Started(), Service: own.Service, Address: own.Address,
+		Slots: own.Slots, State: bfhost.Ready,
+	})
+}
+
 // inspector answers operators' commands.
 func (n *node) inspector() *bfinspect.Backend {
 	return bfinspect.New(bfinspect.Parts{
--- a/bfnode/internal/bfmesh/state.go
+++ b/bfnode/internal/bfmesh/state.go
@@ -27,8 +27,9 @@
 	fleet    *bffleet.Fleet
 	presence *bfpresence.Presence
 	self     string
-	// changed is called after each change.
+	// changed is called after each change, recall with this node's own row.
 	changed func()
+	recall  func(bffleet.Member)
 	// answers reports whether the store answers this node's own calls, current
 	// whether what is held follows the store in some way.
 	answers, current func() bool
@@ -135,6 +136,9 @@
 		}
 		member.Revision = entry.Revision
 		members = append(members, member)
+		if member.Inbound == s.self {
+			s.recall(member)
+		}
 	}
 	s.mu.Lock()
 	if batch.Revision >= s.revision {
@@ -189,6 +193,9 @@
 	s.revision = roster.Revision
 	s.listed.mark()
 	s.fleet.Replace(roster.Members)
+	if own, found := s.fleet.Member(s.self); found {
+		s.recall(own)
+	}
 	s.logger.Emit(bflog.FleetChanged, slog.Int("members", s.fleet.Size()), slog.Bool("from_peer", true))
 }
 
--- a/bfnode/internal/bfmesh/state_test.go
+++ b/bfnode/internal/bfmesh/state_test.go
@@ -20,7 +20,7 @@
 func newState() *state {
 	fleet := bffleet.New(bffleet.Place{Inbound: "self", Domain: "nord"})
 	return &state{
-		logger: bflog.Discard(), traffic: bftraffic.NewHolder(nil), fleet: fleet, self: "self", changed: func() {},
+		logger: bflog.Discard(), traffic: bftraffic.NewHolder(nil), fleet: fleet, self: "self", changed: func() {}, recall: func(bffleet.Member) {},
 		presence: bfpresence.New(bfpresence.Parts{Logger: bflog.Discard(), Metrics: bfmetric.New()}),
 	}
 }
@@ -131,3 +131,25 @@
 	is.Equal(s.refused.Load().Version, bftraffic.Version(8))
 	is.True(s.Recent(3) == nil) // never taken
 }
+
+// A node that is started again finds its own row, in the store's list or, where the store
+// turns it away, in a peer's. The row names the target that it had; one that another
+// writer wrote over, with a target on another machine, does not.
+func TestOwnRowRecallsTheTarget(t *testing.T) {
+	is := is.New(t)
+	own := bffleet.Member{
+		Inbound: "10.0.0.1:1", Peer: "10.0.0.1:2", Service: "vault", Domain: "nord", Slots: 9, Incarnation: "i-1", Address: "10.0.0.1:3",
+	}
+	var recalled []string
+	s := newState()
+	s.self = own.Inbound
+	s.recall = func(m bffleet.Member) { recalled = append(recalled, m.Incarnation) }
+	value, err := own.Encode()
+	is.NoErr(err)
+	s.applyMembers(bffollow.Batch{Whole: true, Entries: []bfstore.Entry{row(t, "10.0.0.2:1", 4), {Key: own.Inbound, Value: value, Revision: 5}}, Revision: 5})
+	s.TakeRoster(bfnews.Roster{Revision: 6, Members: []bffleet.Member{own}})
+	is.Equal(recalled, []string{"i-1", "i-1"})
+	is.True(own.HasTarget())
+	own.Address = "10.0.0.2:3"
+	is.True(!own.HasTarget())
+}
--- a/bfnode/internal/bfmesh/stop_test.go
+++ b/bfnode/internal/bfmesh/stop_test.go
@@ -27,6 +27,7 @@
 	n.host.Heard(bfhost.Heartbeat{Incarnation: "a", Sequence: 1, Service: "portal", Address: "127.0.0.1:3", Slots: 9, State: bfhost.Ready})
 	row, err := bffleet.Member{
 		Inbound: common.Inbound, Service: "portal", Domain: "nord", Slots: 9, LinkMbps: 1000, Instance: "portal-1",
+		Incarnation: "a", Address: "127.0.0.1:3",
 	}.Encode()
 	is.NoErr(err)
 	n.presence.Seen(bfstore.Entry{Key: common.Inbound, Value: row, Revision: 7})
--- a/lib/bffleet/member.go
+++ b/lib/bffleet/member.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"fmt"
+	"net"
+	"time"
 
 	"bilberryflow.org/lib/bfcodec"
 	"bilberryflow.org/lib/bfheader"
@@ -26,6 +28,27 @@
 	Revision uint64 `cbor:"7,keyasint,omitempty"`
 	// Instance is the name of the node's instance, for operators.
 	Instance string `cbor:"8,keyasint,omitempty"`
+	// Incarnation and Address are the target's, StartedMilli when it started in Unix
+	// milliseconds, 0 where it does not say. A node that is started again recalls its
+	// target by them.
+	Incarnation  string `cbor:"9,keyasint,omitempty"`
+	Address      string `cbor:"10,keyasint,omitempty"`
+	StartedMilli int64  `cbor:"11,keyasint,omitempty"`
+}
+
+// Started is when the target started by its own clock, zero where it does not say.
+func (m Member) Started() time.Time {
+	if m.StartedMilli == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(m.StartedMilli)
+}
+
+// HasTarget reports whether the member names a target that is beside its node.
+func (m Member) HasTarget() bool {
+	node, _, _ := net.SplitHostPort(m.Inbound)
+	target, _, err := net.SplitHostPort(m.Address)
+	return err == nil && m.Incarnation != "" && node == target
 }
 
 // Name is what operators call the member: its instance, or its address where the
@@ -68,6 +91,7 @@
 		{"domain", m.Domain != ""},
 		{"slots", m.Slots > 0 && m.Slots <= maxSlots},
 		{"link", m.LinkMbps >= 0},
+		{"address", m.Address == "" || bfheader.IsAddress(m.Address)},
 	} {
 		if !field.good {
 			return Member{}, &MemberError{Key: key, Field: field.name}
--- a/lib/bfhost/heartbeat.go
+++ b/lib/bfhost/heartbeat.go
@@ -49,8 +49,22 @@
 	heard time.Time
 	// takes says that the target gets new work.
 	takes bool
+	// recalled says that the target was not heard since this node started: it is
+	// believed for recallTime by what the node wrote down before.
+	recalled bool
 }
 
+// recallTime is how long a target is believed that has not spoken since its node
+// started. It is longer than the 1.5 s between two heartbeats, and shorter than the time
+// for which a target that drains serves on.
+const recallTime = 2 * time.Second
+
+// isStale reports whether what is believed was only recalled, too long ago.
+func (t *Target) isStale(now time.Time) bool { return t.recalled && now.Sub(t.heard) > recallTime }
+
+// Started is when the target started by its own clock, zero where it does not say.
+func (t *Target) Started() time.Time { return t.heartbeat.Started }
+
 // Incarnation is the name that the target gave itself.
 func (t *Target) Incarnation() string { return t.heartbeat.Incarnation }
 
@@ -83,6 +97,18 @@
 	current *Target
 	// departed holds the starts that left, oldest first.
 	departed []Departure
+	// spoken says that a target has spoken to this node since it started.
+	spoken bool
+}
+
+// recall takes what this node wrote down of its target before it started, and reports
+// whether that changed what is believed. The target's own word goes before it.
+func (b *book) recall(h Heartbeat, now time.Time) bool {
+	if b.spoken || b.current != nil || h.Service != b.service {
+		return false
+	}
+	b.current = &Target{heartbeat: h, heard: now, takes: true, recalled: true}
+	return true
 }
 
 // hear takes a heartbeat and reports whether it changed what is believed.
@@ -94,6 +120,7 @@
 	if h.Service != b.service || b.hasLeft(h) || !b.follows(h, now) {
 		return false
 	}
+	b.spoken = true
 	before := b.current
 	// A later start under the same name knows nothing of what the earlier one said.
 	same := before != nil && before.isStart(h)
@@ -112,7 +139,7 @@
 // follows reports whether a heartbeat is newer than what is believed.
 func (b *book) follows(h Heartbeat, now time.Time) bool {
 	switch {
-	case b.current == nil:
+	case b.current == nil || b.current.recalled:
 		return true
 	case b.current.isStart(h):
 		return h.Sequence > b.current.heartbeat.Sequence
@@ -131,6 +158,7 @@
 
 // leave takes a departure and reports whether it changed what is believed.
 func (b *book) leave(d Departure, now time.Time) bool {
+	b.spoken = true
 	d.Started = b.startOf(d, now)
 	if !slices.Contains(b.departed, d) {
 		b.departed = append(b.departed, d)
--- a/lib/bfhost/host.go
+++ b/lib/bfhost/host.go
@@ -58,6 +58,18 @@
 	h.change(func(b *book) bool { return b.hear(beat, now) })
 }
 
+// Recall takes what this node wrote down of its target before it was started anew, while
+// the target has not spoken to it yet.
+//
+// Targets speak every 1.5 s. A node that is started again beside one that works on would
+// refuse all work for it until then, 0.4 s in the mean, and the others would pass it over
+// for longer. The target's incarnation goes with each request, so that another one at the
+// address refuses it.
+func (h *Host) Recall(target Heartbeat) {
+	now := h.parts.Timer.Now()
+	h.change(func(b *book) bool { return b.recall(target, now) })
+}
+
 // Left takes the target's departure.
 func (h *Host) Left(departure Departure) {
 	now := h.parts.Timer.Now()
@@ -107,7 +119,7 @@
 	switch {
 	case service != h.parts.Service:
 		return nil, Refused{Reason: OtherService}
-	case target == nil:
+	case target == nil || target.isStale(h.parts.Timer.Now()):
 		return nil, Refused{Reason: NoTarget}
 	case !target.takes || h.leaving.Load():
 		return nil, Refused{Reason: Leaving}
--- a/lib/bfhost/host_test.go
+++ b/lib/bfhost/host_test.go
@@ -398,3 +398,56 @@
 	r.Equal(result, Refused{Reason: Unreadable})
 	answer.Close()
 }
+
+func (r *rig) recall(incarnation string) {
+	r.host.Recall(Heartbeat{
+		Incarnation: incarnation, Service: "portal", State: Ready, Slots: 2, Address: strings.TrimPrefix(r.target.URL, "http://"),
+	})
+}
+
+// A node is killed and started again beside a target that works on. Its callers and the
+// other nodes come back before the target's next heartbeat; the node recalls the target
+// from its row and serves them. The target's own word goes before what is recalled.
+func TestTargetIsRecalledUntilItSpeaks(t *testing.T) {
+	r := newRig(t, hello)
+	r.recall("a")
+	r.Equal(r.run(job("1")), "200 hello")
+	r.beat("a", 1, Ready)
+	r.Equal(r.changes.Load(), int32(1)) // the row stays as it is
+	r.beat("a", 2, Draining)
+	r.recall("a")
+	r.Equal(r.run(job("2")), "refused leaving")
+}
+
+// While its node was away another target took the place of the one that the row names.
+// The first request is refused by it and has not run; nothing more is sent until it has
+// spoken, and its first heartbeat counts at once.
+func TestRecalledTargetThatIsAnotherOne(t *testing.T) {
+	r := newRig(t, func(w http.ResponseWriter, q *http.Request) {
+		if q.Header.Get(names.ExpectTarget) != "b" {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		hello(w, q)
+	})
+	r.recall("a")
+	r.Equal(r.run(job("1")), "refused no-target")
+	r.recall("a")
+	r.Equal(r.run(job("2")), "refused no-target")
+	r.Equal(r.runs.Load(), int32(1))
+	r.beat("b", 1, Ready)
+	r.Equal(r.run(job("3")), "200 hello")
+}
+
+// The target crashed, or drains, while its node was away, and says nothing. What was
+// recalled holds for a little longer than the pause between two heartbeats.
+func TestRecalledTargetThatDoesNotSpeak(t *testing.T) {
+	is := is.New(t)
+	b := book{service: "portal"}
+	now := time.Unix(100, 0)
+	is.True(b.recall(Heartbeat{Incarnation: "a", Service: "portal", Slots: 2}, now))
+	is.True(!b.current.isStale(now.Add(1500 * time.Millisecond)))
+	is.True(b.current.isStale(now.Add(recallTime + time.Millisecond)))
+	is.True(!b.recall(Heartbeat{Incarnation: "a", Service: "portal", Slots: 2}, now)) // once
+	is.True(!(&book{service: "vault"}).recall(Heartbeat{Incarnation: "a", Service: "portal"}, now))
+}
