Heads are packed between failure domains

Bodies do not deflate (1.01), heads by themselves a little (0.76 to 0.83), heads by the head before on the connection to about a quarter. 71 in 100 of what crosses has no target of its service in its own domain, so that fewer crossings are no way out.

Weighed: HTTP/2 between nodes (its header compression; all answers of a pair on one connection, which stalls or goes silent as one), deflating whole streams (a window of 32 kB and more a connection; bodies do not shrink).

Change: lib/bfpacker, a net.Conn that sends a message's head deflated with the head before as its dictionary. Only on connections to other domains; the accepting end sees by the first byte whether its peer packs.

--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -23,6 +23,7 @@
 	"bilberryflow.org/lib/bfmetric"
 	"bilberryflow.org/lib/bfnews"
 	"bilberryflow.org/lib/bfoperator"
+	"bilberryflow.org/lib/bfpacker"
 	"bilberryflow.org/lib/bfpeer"
 	"bilberryflow.org/lib/bfpipeline"
 	"bilberryflow.org/lib/bfpresence"
@@ -111,7 +112,7 @@
 	n.pacer = bfhost.NewPacer(n.timer, settings.LinkMbps)
 	names := bfdialect.Headers()
 	n.targets = bfexchange.New(bfexchange.Options{IDHeader: names.RequestID, DialTimeout: dialTimeout, IdleUnstated: targetIdle})
-	n.nodes = bfexchange.New(bfexchange.Options{DialTimeout: dialTimeout, IdleUnstated: nodeIdle})
+	n.nodes = bfexchange.New(bfexchange.Options{DialTimeout: dialTimeout, IdleUnstated: nodeIdle, Wrap: n.wrap})
 	n.host = bfhost.New(bfhost.Parts{
 		Service: common.Service, Names: names, Client: n.targets, Timer: n.timer, Changed: n.targetChanged,
 	})
@@ -129,6 +130,15 @@
 	return n
 }
 
+// wrap packs the heads of what is sent to other failure domains; within one bytes cost
+// next to nothing.
+func (n *node) wrap(inbound string, c net.Conn) net.Conn {
+	if member, found := n.fleet.Member(inbound); !found || member.Domain == n.common.FailureDomain {
+		return c
+	}
+	return bfpacker.Pack(c)
+}
+
 func (n *node) followStore(store *bfdialect.Store) {
 	n.presence = bfpresence.New(bfpresence.Parts{
 		Table: membersTable, Key: n.common.Inbound, Rows: store, Timer: n.timer, Logger: n.logger, Metrics: n.metrics,
@@ -246,7 +256,6 @@
 		handler       http.Handler
 	}
 	ports := []port{
-		{"inbound", n.common.Inbound, bfhost.NewInbound(n.host, n.pacer)},
 		{"target", n.common.Target, bfdialect.Reports{Heard: n.host.Heard, Left: n.host.Left, Refused: n.reportRefused}},
 		{"operator", n.common.Operator, bfoperator.NewOpen(n.inspector())},
 		{"ready", n.settings.Ready, ready},
@@ -259,7 +268,12 @@
 		return nil, err
 	}
 	n.callers = callers
-	servers := []transport.Server{callers}
+	inbound, err := bfserver.ListenPacked("inbound", n.common.Inbound, bfhost.NewInbound(n.host, n.pacer))
+	if err != nil {
+		return nil, err
+	}
+	inbound.SendBuffer(n.settings.sendBuffer())
+	servers := []transport.Server{callers, inbound}
 	if n.settings.Metrics != "" {
 		metrics := http.NewServeMux()
 		metrics.Handle("GET /debug/vars", expvar.Handler())
--- a/lib/bfexchange/pool.go
+++ b/lib/bfexchange/pool.go
@@ -17,6 +17,9 @@
 	DialTimeout time.Duration
 	// IdleUnstated is how long a connection is kept unused where the peer does not say how long it keeps it.
 	IdleUnstated time.Duration
+	// Wrap makes what a new connection to an address is used through, nil for the
+	// connection itself.
+	Wrap func(address string, c net.Conn) net.Conn
 }
 
 const (
@@ -97,6 +100,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.options.Wrap != nil {
+		opened = c.options.Wrap(address, opened)
+	}
 	return &conn{Conn: opened, address: address, reader: bufio.NewReader(opened), keep: c.options.IdleUnstated}, nil
 }
 
@@ -134,6 +140,9 @@
 	if k.reader.Buffered() > 0 {
 		return false
 	}
+	if wrapped, ok := k.Conn.(interface{ Buffered() int }); ok && wrapped.Buffered() > 0 {
+		return false
+	}
 	source, ok := k.Conn.(syscall.Conn)
 	if !ok {
 		return true
--- a/lib/bfserver/server.go
+++ b/lib/bfserver/server.go
@@ -11,6 +11,8 @@
 
 	"github.com/go-kratos/kratos/v2/log"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"bilberryflow.org/lib/bfpacker"
 )
 
 // Limits of a connection. A peer that sends its header slowly or without end
@@ -50,10 +52,38 @@
 // The handler takes every request itself: kratos's router would redirect
 // paths it finds unclean and offer /debug/vars on ports meant for callers.
 func Listen(name, address string, handler http.Handler, secure *tls.Config) (*Port, error) {
+	return open(name, address, handler, secure, nil)
+}
+
+// ListenPacked is Listen for peers that may pack the heads of their requests; those are
+// answered likewise.
+func ListenPacked(name, address string, handler http.Handler) (*Port, error) {
+	return open(name, address, handler, nil, func(c net.Conn) net.Conn { return bfpacker.Accept(c) })
+}
+
+// wrapper is a listener whose connections are used through what wrap makes of them.
+type wrapper struct {
+	net.Listener
+	wrap func(net.Conn) net.Conn
+}
+
+// Accept gives the next connection.
+func (w wrapper) Accept() (net.Conn, error) {
+	c, err := w.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return w.wrap(c), nil
+}
+
+func open(name, address string, handler http.Handler, secure *tls.Config, wrap func(net.Conn) net.Conn) (*Port, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, &ListenError{Port: name, Address: address, Reason: err}
 	}
+	if wrap != nil {
+		listener = wrapper{listener, wrap}
+	}
 	options := []khttp.ServerOption{
 		khttp.Listener(listener),
 		khttp.Address(address),
@@ -76,7 +106,7 @@
 // one that it comes too late.
 func (p *Port) SendBuffer(bytes int) {
 	p.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-		if connection, ok := c.(*net.TCPConn); ok {
+		if connection, ok := c.(interface{ SetWriteBuffer(int) error }); ok {
 			// A system that does not allow it sends as it would anyway.
 			_ = connection.SetWriteBuffer(bytes)
 		}
