--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -64,9 +64,9 @@
 	refusal := bfhost.Refused{Reason: bfhost.NoTarget, RetryAfter: startingPause}
 	for {
 		now := c.handler.parts.Timer.Now()
-		choice := c.handler.parts.Fleet.Pick(c.demand(), now, c.tried)
+		choice := c.handler.parts.Fleet.Pick(c.demand(refusal), now, c.tried)
 		target := choice.Target()
-		done := target == nil || c.askedLong(now, refusal) || c.isTooFar(target, refusal)
+		done := target == nil || c.askedLong(now, refusal)
 		if done && refusal.Reason == bfhost.Full && !c.last && c.asksAgain() {
 			c.last, c.tried = true, nil
 			continue
@@ -152,11 +152,13 @@
 	return c.ran
 }
 
-func (c *call) demand() bffleet.Demand {
+// demand is what a target is chosen for, after a refusal.
+func (c *call) demand(refusal bfhost.Refused) bffleet.Demand {
 	name := c.route.Name()
 	return bffleet.Demand{
 		Service: c.service, Bytes: int(c.handler.bytes.of(name)), Usual: c.usual(),
 		Running: time.Duration(c.handler.running.of(name)), Left: c.left(), Objective: c.route.Objective(),
+		Near: c.staysNear(refusal),
 	}
 }
 
--- a/lib/bfentry/refusal.go
+++ b/lib/bfentry/refusal.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"time"
 
-	"bilberryflow.org/lib/bffleet"
 	"bilberryflow.org/lib/bfhost"
 	"bilberryflow.org/lib/bfwalk"
 )
@@ -18,10 +17,11 @@
 	return now.Sub(c.arrived) > bfwalk.Longest(c.route.Objective(), c.handler.near.Of(c.service))
 }
 
-// isTooFar reports whether a request that was refused is not to go to a target of
-// another failure domain.
-func (c *call) isTooFar(target *bffleet.Target, refusal bfhost.Refused) bool {
-	if c.parent != nil || refusal.Reason != bfhost.Full || !c.handler.parts.Fleet.IsFar(target) {
+// staysNear reports whether a request that was refused goes on within its failure domain
+// only. The targets there that it has not asked yet cost no bytes between domains, so they
+// are asked although one of another domain would be the better choice.
+func (c *call) staysNear(refusal bfhost.Refused) bool {
+	if c.parent != nil || refusal.Reason != bfhost.Full {
 		return false
 	}
 	return !bfwalk.GoesFar(c.handler.far.Of(c.service), rand.Float64())
--- a/lib/bffleet/cost.go
+++ b/lib/bffleet/cost.go
@@ -18,6 +18,8 @@
 	// Objective is the time in which the request should be answered, Left what is left
 	// of it.
 	Objective, Left time.Duration
+	// Near says that only targets of the own failure domain are to be chosen.
+	Near bool
 }
 
 // The costs of a target are in shares of what the answer to one request is worth.
@@ -41,7 +43,7 @@
 	// bytes. Of five pairs of figures, over six days of 16 instances in four domains,
 	// these gave the most: bytes between domains a third of what they were with a
 	// hopCost of 0.04, for one answer in a hundred more that is late.
-	hopCost       = 0.2
+	hopCost       = 0.1
 	bytesOfAnswer = 20_000
 	// linkCost is that of an answer that takes the node's own link a second: downloads
 	// of a node with a target of their own take a slow link once and not twice.
@@ -74,8 +76,11 @@
 		return 0
 	}
 	cost := 0.0
-	if t.member.Domain != place.Domain && !t.wantsProbe(now) {
-		cost += hopCost + float64(demand.Bytes)/bytesOfAnswer
+	if t.member.Domain != place.Domain {
+		cost += float64(demand.Bytes) / bytesOfAnswer
+		if !t.wantsProbe(now) {
+			cost += hopCost
+		}
 	}
 	if demand.Bytes >= longAnswer {
 		cost += linkWaitCost * float64(t.linkWait(now)) / float64(max(demand.Objective, 1))
--- a/lib/bffleet/fleet.go
+++ b/lib/bffleet/fleet.go
@@ -172,7 +172,7 @@
 		if t.probing.Load() || slices.Contains(tried, t) {
 			continue
 		}
-		if !aside && t.aside(now) {
+		if !aside && t.aside(now) || demand.Near && f.IsFar(t) {
 			continue
 		}
 		if !f.IsFar(t) {
--- a/lib/bfpacker/frame.go
+++ b/lib/bfpacker/frame.go
@@ -104,7 +104,12 @@
 	head, last []byte
 }
 
-func newUnpacker(from io.Reader) *unpacker { return &unpacker{from: bufio.NewReader(from)} }
+// frameBuffer is the size of what is read ahead: a frame of a head. Bodies are read past it.
+const frameBuffer = 512
+
+func newUnpacker(from io.Reader) *unpacker {
+	return &unpacker{from: bufio.NewReaderSize(from, frameBuffer)}
+}
 
 // buffered is how many bytes came that were not read yet.
 func (r *unpacker) buffered() int { return len(r.head) + r.from.Buffered() }
--- a/lib/bfreplay/replay.go
+++ b/lib/bfreplay/replay.go
@@ -124,10 +124,11 @@
 	left := w.load.Objective - w.now.Sub(c.began)
 	demand := bffleet.Demand{
 		Service: service, Bytes: 1500, Usual: e.usual, Running: w.load.Running, Objective: w.load.Objective, Left: left,
+		Near: c.full && w.ways.ByOdds && !bfwalk.GoesFar(e.far.Of(service), w.random.Float64()),
 	}
 	choice := e.fleet.Pick(demand, w.now, c.tried)
 	chosen := choice.Target()
-	if chosen == nil || c.full && w.isDone(e, c, chosen) {
+	if chosen == nil || c.full && w.isDone(e, c) {
 		w.refuse(e, c)
 		return
 	}
@@ -147,13 +148,10 @@
 }
 
 // isDone reports whether a request that was refused asks nobody else.
-func (w *world) isDone(e *entry, c *caller, next *bffleet.Target) bool {
+func (w *world) isDone(e *entry, c *caller) bool {
 	odds := 0.0
 	if w.ways.ByOdds {
 		odds = e.odds.Of(service)
-		if e.fleet.IsFar(next) && !bfwalk.GoesFar(e.far.Of(service), w.random.Float64()) {
-			return true
-		}
 	}
 	return w.now.Sub(c.attempt) > bfwalk.Longest(w.load.Objective, odds)
 }
