Two sources read the store for the fleet, and a first start costs few looks

Change: two sources for the whole fleet tell the relays of all domains, and these their domain. A follower asks the store only where nobody is heard, one after the other, and the first to read tells the rest. Nodes whose relays the store does not answer ask their neighbours. Who begins to read goes on from the revision that it was told. At the first start nothing is read before the row is written, and the first that look tell the relays. New nodes are brought the version by a relay; those started again read it at once, as before. Held calls of the few readers last 5 s instead of 15.

Ruled out: bringing the version to all that are started again (at a restart of all nobody has it, and 140 kB for each of 20 followers take a relay's link 0.2 s); a "current" that relays pass on from each other (a test showed the two sources keep each other current for good).

--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -159,31 +159,49 @@
 	})
 	n.state = &state{
 		logger: n.logger, traffic: n.traffic, fleet: n.fleet, presence: n.presence, self: n.common.Inbound,
-		answers: n.answers, current: n.current, changed: func() { n.news.Changed() }, recall: n.recall,
+		follows: n.follows, current: n.current, changed: n.stateChanged, recall: n.recall,
+		readVersions: func() uint64 { return n.config.Revision() },
+	}
+	if n.settings.FirstStart {
+		// The fleet's table is empty: nothing has to be read before the row is written.
+		n.presence.Seen(bfstore.Entry{Key: n.common.Inbound, Removed: true})
 	}
 	n.config = bffollow.New(bffollow.Parts{
 		Table: bfdialect.ConfigurationTable, Rows: store, Apply: n.state.applyConfiguration, Gather: gatherVersions,
-		Due: func() bool { return n.news.ReadsVersions() }, Stands: func() bool { return n.news.Stands() }, Timer: n.timer, Logger: n.logger, Metrics: n.metrics,
+		Due: func() bool { return n.news.ReadsVersions() }, Held: n.state.VersionAsOf, Timer: n.timer, Logger: n.logger, Metrics: n.metrics,
 	})
 	n.members = bffollow.New(bffollow.Parts{
 		Table: membersTable, Rows: store, Apply: n.state.applyMembers, Gather: gatherMembers,
-		Due: func() bool { return n.news.Reads() }, Stands: func() bool { return n.news.Stands() }, Timer: n.timer, Logger: n.logger, Metrics: n.metrics,
+		Due: func() bool { return n.news.Reads() }, Held: n.state.Revision, Timer: n.timer, Logger: n.logger, Metrics: n.metrics,
 	})
 }
 
-// current reports whether what the node holds follows the store: by its own calls
-// or by a reader's word.
-func (n *node) current() bool {
-	return n.news.HearsReader() || n.answers()
+// stateChanged has others hear of a change. A node that is started again reads its first
+// version once it knows the members: its callers wait for that.
+func (n *node) stateChanged() {
+	n.news.Changed()
+	if n.traffic.Current() == nil {
+		n.config.Wake()
+	}
 }
 
-// answers reports whether the store answers this node's own calls.
+// current reports whether what the node holds follows the store: by its own calls
+// or by the word of a node that does.
+func (n *node) current() bool { return n.news.HearsFresh() || n.follows() }
+
+// follows reports whether the node's own calls follow the store now.
+func (n *node) follows() bool { return n.config.Follows() && n.members.Follows() }
+
+// answers reports whether the store answered this node's last calls.
 func (n *node) answers() bool { return n.config.Healthy() && n.members.Healthy() }
 
 func (n *node) talkToNodes() {
 	methods := bfpeer.Methods{}
 	n.calls = bfpeer.NewCalls(methods, bfpeer.NewTraffic(n.metrics), n.group)
-	n.news = bfnews.New(n.common.Peer, place(n.common, n.settings), n.state, n.fleet, n.calls, n.timer, n.group.Go)
+	n.news = bfnews.New(bfnews.Parts{
+		Self: n.common.Peer, Place: place(n.common, n.settings), First: n.settings.FirstStart, State: n.state,
+		Fleet: n.fleet, Calls: n.calls, Timer: n.timer, Spawn: n.group.Go,
+	})
 	maps.Copy(methods, n.news.Methods())
 }
 
--- a/bfnode/internal/bfmesh/settings.go
+++ b/bfnode/internal/bfmesh/settings.go
@@ -9,11 +9,12 @@
 
 // Mesh is the part of a node's settings that only such a node has.
 type Mesh struct {
-	Ready    string              `json:"ready" jsonschema:"minLength=1,description=Port on which the platform asks whether the node takes callers."`
-	Metrics  string              `json:"metrics,omitempty" jsonschema:"description=Port that shows /debug/vars beside the operator port, empty for none."`
-	Grace    bfsettings.Duration `json:"grace" jsonschema:"description=Time from SIGTERM to SIGKILL."`
-	LinkMbps float64             `json:"linkMbps" jsonschema:"exclusiveMinimum=0,maximum=1000000,description=Bandwidth of the machine's link in Mbit/s."`
-	Repeats  Repeats             `json:"repeats" jsonschema:"description=Bound of the repeats that all nodes together send to a service."`
+	Ready      string              `json:"ready" jsonschema:"minLength=1,description=Port on which the platform asks whether the node takes callers."`
+	Metrics    string              `json:"metrics,omitempty" jsonschema:"description=Port that shows /debug/vars beside the operator port, empty for none."`
+	Grace      bfsettings.Duration `json:"grace" jsonschema:"description=Time from SIGTERM to SIGKILL."`
+	LinkMbps   float64             `json:"linkMbps" jsonschema:"exclusiveMinimum=0,maximum=1000000,description=Bandwidth of the machine's link in Mbit/s."`
+	FirstStart bool                `json:"firstStart,omitempty" jsonschema:"description=Whether the whole fleet starts for the first time: the store holds no member yet."`
+	Repeats    Repeats             `json:"repeats" jsonschema:"description=Bound of the repeats that all nodes together send to a service."`
 }
 
 // Repeats bound what all nodes together send again to one service.
--- a/bfnode/internal/bfmesh/state.go
+++ b/bfnode/internal/bfmesh/state.go
@@ -30,9 +30,11 @@
 	// changed is called after each change, recall with this node's own row.
 	changed func()
 	recall  func(bffleet.Member)
-	// answers reports whether the store answers this node's own calls, current
-	// whether what is held follows the store in some way.
-	answers, current func() bool
+	// follows reports whether this node's own calls follow the store, current whether
+	// what is held does in some way.
+	follows, current func() bool
+	// readVersions is the store's revision as of which this node itself read the versions.
+	readVersions func() uint64
 
 	// refused is the newest version that was refused whole, nil once a newer one is in force.
 	refused atomic.Pointer[bfinspect.Refusal]
@@ -40,8 +42,10 @@
 	adopted, listed moment
 
 	mu sync.Mutex
-	// revision is the store's as of which the members are known.
-	revision uint64
+	// revision is the store's as of which the members are known, asOf that as of which
+	// the version told is the newest one, by the word of others.
+	revision, asOf uint64
+	told           bftraffic.Version
 }
 
 // applyConfiguration takes news of the operators' table: the newest version in it
@@ -117,7 +121,7 @@
 func (s *state) applyMembers(batch bffollow.Batch) {
 	var members []bffleet.Member
 	var gone []string
-	own := bfstore.Entry{Key: s.self, Removed: true}
+	own := bfstore.Entry{Key: s.self, Removed: true, Revision: batch.Revision}
 	ownTold := batch.Whole
 	for _, entry := range batch.Entries {
 		if entry.Key == s.self {
@@ -185,22 +189,61 @@
 
 // TakeRoster takes another node's members if they are known as of a later revision.
 func (s *state) TakeRoster(roster bfnews.Roster) {
+	if !s.replace(roster) {
+		return
+	}
+	s.logger.Emit(bflog.FleetChanged, slog.Int("members", s.fleet.Size()), slog.Bool("from_peer", true))
+	own, found := s.fleet.Member(s.self)
+	if !found {
+		// A row that others removed is written again, also by a node that others read for.
+		s.presence.Seen(bfstore.Entry{Key: s.self, Removed: true, Revision: roster.Revision})
+		return
+	}
+	s.recall(own)
+	revision := own.Revision
+	own.Revision = 0
+	value, err := own.Encode()
+	if err != nil {
+		s.logger.Emit(bflog.InvariantBroken, bflog.Err(err))
+		return
+	}
+	s.presence.Seen(bfstore.Entry{Key: s.self, Value: value, Revision: revision})
+}
+
+func (s *state) replace(roster bfnews.Roster) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if roster.Revision <= s.revision {
-		return
+		return false
 	}
 	s.revision = roster.Revision
 	s.listed.mark()
 	s.fleet.Replace(roster.Members)
-	if own, found := s.fleet.Member(s.self); found {
-		s.recall(own)
+	return true
+}
+
+// VersionAsOf is the store's revision as of which the version in force is the newest one.
+func (s *state) VersionAsOf() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	read := s.readVersions()
+	if s.told != s.traffic.Version() {
+		return read
+	}
+	return max(read, s.asOf)
+}
+
+// TakeAsOf takes another node's word that a version is the newest one as of a revision.
+func (s *state) TakeAsOf(version bftraffic.Version, revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if version > s.told || version == s.told && revision > s.asOf {
+		s.told, s.asOf = version, revision
 	}
-	s.logger.Emit(bflog.FleetChanged, slog.Int("members", s.fleet.Size()), slog.Bool("from_peer", true))
 }
 
 // Current reports whether what is held follows the store.
 func (s *state) Current() bool { return s.current() }
 
-// StoreAnswers reports whether the store answers this node's own calls.
-func (s *state) StoreAnswers() bool { return s.answers() }
+// Follows reports whether this node's own calls follow the store now.
+func (s *state) Follows() bool { return s.follows() }
--- a/lib/bffleet/fleet.go
+++ b/lib/bffleet/fleet.go
@@ -21,8 +21,9 @@
 
 // view is one immutable state of the fleet.
 type view struct {
-	members  map[string]*Target
-	services map[string][]*Target
+	generation uint64
+	members    map[string]*Target
+	services   map[string][]*Target
 }
 
 // Place is where the node that holds a Fleet stands.
@@ -82,7 +83,7 @@
 func (f *Fleet) swap(change func(map[string]*Target) map[string]*Target) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	next := &view{members: map[string]*Target{}, services: map[string][]*Target{}}
+	next := &view{generation: f.view.Load().generation + 1, members: map[string]*Target{}, services: map[string][]*Target{}}
 	maps.Copy(next.members, f.view.Load().members)
 	next.members = change(next.members)
 	for _, inbound := range slices.Sorted(maps.Keys(next.members)) {
@@ -102,6 +103,9 @@
 	return all
 }
 
+// Generation counts the changes of the members.
+func (f *Fleet) Generation() uint64 { return f.view.Load().generation }
+
 // Member finds a member by its inbound address.
 func (f *Fleet) Member(inbound string) (Member, bool) {
 	t, found := f.view.Load().members[inbound]
--- a/lib/bffollow/follow.go
+++ b/lib/bffollow/follow.go
@@ -29,13 +29,18 @@
 	apply   func(Batch)
 	gather  time.Duration
 	due     func() bool
-	stands  func() bool
+	held    func() uint64
 	timer   *bftimer.Service
 	logger  *bflog.Logger
 	calls   *bfmetric.Counter
 	healthy atomic.Bool
-	// read says that the table was read once; only Run uses it.
-	read bool
+	// following says that the node follows the table itself and that its last call was
+	// answered.
+	following atomic.Bool
+	// revision is that as of which the node itself read the table last.
+	revision atomic.Uint64
+	// wake ends a pause of a node that does not follow.
+	wake chan struct{}
 }
 
 // Parts is what a Follower works with.
@@ -47,11 +52,10 @@
 	// change a fifth of a second would else cost a call each.
 	Gather time.Duration
 	// Due reports whether this node is to follow the table itself, nil for always.
-	// It is not asked before the table was read once.
 	Due func() bool
-	// Stands reports whether others follow the table for this node, nil for never: then
-	// it asks a store that does not answer more rarely.
-	Stands  func() bool
+	// Held gives the revision as of which the table is known by the word of others, 0 for
+	// never; nil where nobody tells. What changed since is read, and not the whole table.
+	Held    func() uint64
 	Timer   *bftimer.Service
 	Logger  *bflog.Logger
 	Metrics *bfmetric.Registry
@@ -60,23 +64,29 @@
 // New makes a follower; Run follows.
 func New(parts Parts) *Follower {
 	return &Follower{
-		table: parts.Table, rows: parts.Rows, apply: parts.Apply, gather: parts.Gather, due: parts.Due, stands: parts.Stands, timer: parts.Timer, logger: parts.Logger,
-		calls: parts.Metrics.Counter("store_reads_" + parts.Table),
+		table: parts.Table, rows: parts.Rows, apply: parts.Apply, gather: parts.Gather, due: parts.Due, held: parts.Held, timer: parts.Timer, logger: parts.Logger,
+		calls: parts.Metrics.Counter("store_reads_" + parts.Table), wake: make(chan struct{}, 1),
 	}
 }
 
 // Healthy reports whether the store answered the last call.
 func (f *Follower) Healthy() bool { return f.healthy.Load() }
 
+// Revision is that of the store as of which the node itself read the table last, 0 before.
+func (f *Follower) Revision() uint64 { return f.revision.Load() }
+
+// Follows reports whether the node's own calls follow the table now.
+func (f *Follower) Follows() bool { return f.following.Load() }
+
 const (
 	// firstWait and lastWait are how long the store holds a call without news; each
-	// call without news waits waitGrowth times as long as the one before. A store that falls silent forgets the calls that
-	// come meanwhile, on connections that live: changes are missed until the call is
-	// given up. Most come soon after another one, when the wait is short; one of the
-	// long ones costs a call for every table and node.
+	// call without news waits waitGrowth times as long as the one before. A store that
+	// falls silent forgets the calls that come meanwhile, on connections that live:
+	// changes are missed until the call is given up. Two nodes of a fleet read, so that
+	// both may be forgotten, and their calls in the calm cost next to nothing.
 	firstWait  = 3 * time.Second
-	waitGrowth = 5
-	lastWait   = 15 * time.Second
+	waitGrowth = 2
+	lastWait   = 5 * time.Second
 	// returnWait is the wait of calls that follow a failed one. A store that is back
 	// answers it at once, one that is still silent costs no more than this.
 	returnWait = 500 * time.Millisecond
@@ -88,28 +98,20 @@
 	firstPause = 150 * time.Millisecond
 	lastPause  = time.Second
 	pauseShare = 0.3
-	// standingPause is the pause after a failed call of a node that has others to follow
-	// the table for it. They ask every second and tell it; its own calls find a store that
-	// turns those away alone, and one such call in the domain within a fifth of a second
-	// is enough for that. A day of 85 nodes whose store refused for eight seconds had 2,305
-	// calls while those nodes tried again as often as the readers, and 1,668 since.
-	standingPause = 4 * time.Second
 	// idlePause is how often a node that does not follow looks whether it is to.
 	idlePause = 100 * time.Millisecond
 )
 
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	start := position{}
-	at := start
+	at := position{}
 	pause, wait := firstPause, firstWait
 	for ctx.Err() == nil {
-		if f.due != nil && f.read && !f.due() {
-			// What changes meanwhile others tell; the table is listed anew afterwards.
-			at = start
-			if f.timer.Wait(ctx, idlePause) != nil {
-				return nil
-			}
+		if f.due != nil && !f.due() {
+			// What changes meanwhile others tell.
+			f.following.Store(false)
+			at = f.resumed(at)
+			f.idle(ctx)
 			continue
 		}
 		next, news, err := f.step(ctx, at, f.timer.Jittered(wait, waitShare)())
@@ -118,8 +120,11 @@
 		}
 		f.note(err)
 		at = next
+		if at.listed {
+			f.revision.Store(at.after)
+		}
 		if err != nil {
-			if f.timer.Wait(ctx, f.timer.Jittered(f.retryPause(pause), pauseShare)()) != nil {
+			if f.timer.Wait(ctx, f.timer.Jittered(pause, pauseShare)()) != nil {
 				return nil
 			}
 			pause, wait = min(2*pause, lastPause), returnWait
@@ -136,13 +141,22 @@
 	return nil
 }
 
-// retryPause is the pause after a failed call, where a node that follows for itself makes
-// one of pause.
-func (f *Follower) retryPause(pause time.Duration) time.Duration {
-	if f.stands != nil && f.stands() {
-		return standingPause
+// Wake has a node that does not follow look at once whether it is to.
+func (f *Follower) Wake() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// idle waits until it is time to look again.
+func (f *Follower) idle(ctx context.Context) {
+	waited, cancel := context.WithTimeout(ctx, idlePause)
+	defer cancel()
+	select {
+	case <-f.wake:
+	case <-waited.Done():
 	}
-	return pause
 }
 
 // position is how far a table has been read.
@@ -161,7 +175,6 @@
 		}
 		f.logger.Emit(bflog.StoreListed, slog.String("table", f.table), slog.Int("rows", len(entries)), slog.Uint64("revision", revision))
 		f.apply(Batch{Whole: true, Entries: entries, Revision: revision})
-		f.read = true
 		return position{listed: true, after: revision}, false, nil
 	}
 	entries, revision, err := f.rows.Changes(ctx, f.table, at.after, wait)
@@ -178,8 +191,19 @@
 	return position{listed: true, after: max(revision, at.after)}, len(entries) > 0, nil
 }
 
+// resumed is from where the table is read on, by what was read itself and by the word of
+// others. The store says if it does not remember that far back.
+func (f *Follower) resumed(at position) position {
+	if f.held == nil {
+		return at
+	}
+	after := max(at.after, f.held())
+	return position{listed: after > 0, after: after}
+}
+
 // note logs the loss and the return of the store.
 func (f *Follower) note(err error) {
+	f.following.Store(err == nil)
 	was := f.healthy.Swap(err == nil)
 	switch {
 	case err != nil && was:
--- a/lib/bfnews/news.go
+++ b/lib/bfnews/news.go
@@ -27,8 +27,12 @@
 type State interface {
 	// Version is the version of the traffic configuration in force, 0 for none.
 	Version() bftraffic.Version
-	// Revision is the store's revision as of which the members are known.
+	// VersionAsOf is the store's revision as of which the version in force is the newest
+	// one, Revision that as of which the members are known; 0 for never.
+	VersionAsOf() uint64
 	Revision() uint64
+	// TakeAsOf takes another node's word that a version is the newest one as of a revision.
+	TakeAsOf(version bftraffic.Version, revision uint64)
 	// Snapshot is the traffic configuration in force, nil before the first.
 	Snapshot() *bftraffic.Snapshot
 	// Recent is the configuration of a version that was in force lately, else nil.
@@ -42,10 +46,10 @@
 	// TakeRoster takes another node's members if they are known as of a later revision.
 	TakeRoster(roster Roster)
 	// Current reports whether what is held follows the store, by this node's own
-	// calls or by a reader's word.
+	// calls or by the word of one that does.
 	Current() bool
-	// StoreAnswers reports whether the store answers this node's own calls.
-	StoreAnswers() bool
+	// Follows reports whether this node's own calls follow the store now.
+	Follows() bool
 }
 
 // question tells what the asking node holds.
@@ -80,22 +84,45 @@
 	spawn func(name string, fn func(ctx context.Context) error)
 	// began is when the node started.
 	began time.Time
-	// told is how long after began a reader last told something, in nanoseconds; 0 for
-	// never. It is not a time of day, which may jump back and have a silent reader pass
-	// for one that was just heard.
-	told atomic.Int64
-	// changed wakes the telling, asking says that a reader is asked for the whole.
+	// first says that the whole fleet starts for the first time, meeting when this node
+	// looks who is there then.
+	first   bool
+	meeting time.Duration
+	heard   hearing
+	planned atomic.Pointer[plan]
+	// encoded is the newest configuration that was sent whole.
+	encoded atomic.Pointer[encodedSpec]
+	// changed wakes the telling, asking says that a teller is asked for the whole.
 	changed chan struct{}
 	asking  atomic.Bool
+	// introduced says that the relays were told who is there.
+	introduced atomic.Bool
 	// askingBack says that a node that put a question is asked back.
 	askingBack atomic.Bool
 }
 
-// New makes the exchange of the node whose calls are taken at self.
-func New(self string, place bffleet.Place, state State, fleet *bffleet.Fleet, calls *bfpeer.Calls, timer *bftimer.Service,
-	spawn func(string, func(context.Context) error)) *Exchange {
+// Parts is what an Exchange works with.
+type Parts struct {
+	// Self is where the node takes calls from other nodes.
+	Self  string
+	Place bffleet.Place
+	// First says that the whole fleet starts for the first time.
+	First bool
+	State State
+	Fleet *bffleet.Fleet
+	Calls *bfpeer.Calls
+	Timer *bftimer.Service
+	// Spawn starts a goroutine of the node's group.
+	Spawn func(name string, fn func(ctx context.Context) error)
+}
+
+// New makes the exchange of a node that starts now.
+func New(parts Parts) *Exchange {
 	return &Exchange{
-		changed: make(chan struct{}, 1), began: time.Now(), self: self, place: place, state: state, fleet: fleet, calls: calls, timer: timer, spawn: spawn,
+		self: parts.Self, place: parts.Place, first: parts.First, state: parts.State, fleet: parts.Fleet,
+		calls: parts.Calls, timer: parts.Timer, spawn: parts.Spawn,
+		meeting: firstMeeting + time.Duration(rand.Float64()*float64(meetingSpread)),
+		changed: make(chan struct{}, 1), began: time.Now(),
 	}
 }
 
@@ -120,7 +147,7 @@
 	// asked again by chance.
 	callTimeout = time.Second
 	// versionLead and storeLead are how long a node that the store answers waits for
-	// what another one has already: mostly the store or a reader brings it in that
+	// what another one has already: mostly the store or a teller brings it in that
 	// time. A version is due everywhere within two seconds and costs a delta; of the
 	// members the whole list is sent, and their refusals tell of those that leave.
 	versionLead = 300 * time.Millisecond
@@ -129,7 +156,8 @@
 
 // Run asks until ctx ends.
 func (e *Exchange) Run(ctx context.Context) error {
-	e.spawn("tell domain", e.tellDomain)
+	e.spawn("tell others", e.tellOthers)
+	e.spawn("await a version", e.awaitVersion)
 	for {
 		interval := calmInterval
 		if !e.state.Current() {
@@ -277,6 +305,25 @@
 		r.Delta, err = bfcodec.Marshal(bftraffic.DeltaOf(base, snapshot))
 		return err
 	}
-	r.Spec, err = bfcodec.Marshal(snapshot.Spec())
+	r.Spec, err = e.encode(snapshot)
 	return err
 }
+
+// encodedSpec is a configuration as it is sent whole.
+type encodedSpec struct {
+	version bftraffic.Version
+	data    []byte
+}
+
+// encode writes a configuration. A relay is asked for the same one by all members of its
+// domain when a fleet starts, and each has a hundred kilobytes.
+func (e *Exchange) encode(snapshot *bftraffic.Snapshot) ([]byte, error) {
+	if held := e.encoded.Load(); held != nil && held.version == snapshot.Version() {
+		return held.data, nil
+	}
+	data, err := bfcodec.Marshal(snapshot.Spec())
+	if err == nil {
+		e.encoded.Store(&encodedSpec{snapshot.Version(), data})
+	}
+	return data, err
+}
--- a/lib/bfnews/tell.go
+++ b/lib/bfnews/tell.go
@@ -3,71 +3,35 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 
 	"bilberryflow.org/lib/bfcodec"
+	"bilberryflow.org/lib/bffleet"
 	"bilberryflow.org/lib/bftraffic"
 )
 
-// tellMethod is the name of the call by which readers tell their domain.
+// tellMethod is the name of the call by which nodes tell those who hear from them.
 const tellMethod = "tell"
 
-// tale is what a reader tells: what it holds and, after a change, how that came
-// of what it held before.
+// tale is what a node tells: what it holds and, after a change, how that came of what
+// it held before.
 type tale struct {
 	Version  bftraffic.Version `json:"version"`
 	Revision uint64            `json:"revision"`
-	Peer     string            `json:"peer"`
+	// AsOf is the store's revision as of which the version is the newest one.
+	AsOf uint64 `json:"as_of,omitempty"`
+	Peer string `json:"peer"`
 	// Delta is a bftraffic.Delta in CBOR, empty where nothing changed.
 	Delta []byte `json:"delta,omitempty"`
-	// Hint says that the teller is no reader and learned of the version from others.
+	// Fresh says that the teller follows the store, Reader that its own calls do and not
+	// those of another node that it hears. Two that the store turns away would else take
+	// each other's word for it.
+	Fresh  bool `json:"fresh,omitempty"`
+	Reader bool `json:"reader,omitempty"`
+	// Hint says that the teller is none to hear from, and only learned something.
 	Hint bool `json:"hint,omitempty"`
 }
 
-// Reads reports whether this node is to read the store itself.
-//
-// A node that starts has just read it when it learns who the readers are. They get
-// the time in which one is missed, so that it does not open calls for changes that
-// it needs no answer to.
-func (e *Exchange) Reads() bool {
-	if e.fleet.Size() == 0 && e.timer.Now().Sub(e.began) < firstMeeting {
-		return false
-	}
-	chosen := readers(e.place.Domain, e.fleet.Members())
-	if len(chosen) == 0 || slices.Contains(chosen, e.place.Inbound) {
-		return true
-	}
-	e.told.CompareAndSwap(0, e.age())
-	return !e.HearsReader()
-}
-
-// age is how long the exchange has been there, in nanoseconds of the steady clock.
-func (e *Exchange) age() int64 { return max(int64(e.timer.Now().Sub(e.began)), 1) }
-
-// ReadsVersions reports whether this node is to read the store's versions itself. At
-// the first start of a fleet that is decided once the members are known.
-func (e *Exchange) ReadsVersions() bool {
-	return e.Reads() && (e.fleet.Size() > 0 || e.timer.Now().Sub(e.began) > firstMeeting+storeLead)
-}
-
-// HearsReader reports whether a reader that the store answers told something lately.
-func (e *Exchange) HearsReader() bool {
-	told := e.told.Load()
-	return told > 0 && e.age()-told < int64(readerSilence)
-}
-
-// chosen reports whether this node is one of its domain's chosen readers.
-func (e *Exchange) chosen() bool {
-	return slices.Contains(readers(e.place.Domain, e.fleet.Members()), e.place.Inbound)
-}
-
-// Stands reports whether others of the domain read the store for this node.
-func (e *Exchange) Stands() bool {
-	readers := readers(e.place.Domain, e.fleet.Members())
-	return len(readers) > 0 && !slices.Contains(readers, e.place.Inbound)
-}
-
-// Changed has a reader tell its domain at once.
+// Changed has the node tell at once those who hear from it.
 func (e *Exchange) Changed() {
 	select {
 	case e.changed <- struct{}{}:
@@ -75,10 +39,9 @@
 	}
 }
 
-// tellDomain tells the members of the domain, as long as the store answers this
-// node itself: two that it turns away would else take each other's word for the
-// store's, and keep the others from reading it.
-func (e *Exchange) tellDomain(ctx context.Context) error {
+// tellOthers tells those who hear from this node, also while the store does not answer
+// it: they are to ask other nodes then, and not the store each on its own.
+func (e *Exchange) tellOthers(ctx context.Context) error {
 	var last *bftraffic.Snapshot
 	for ctx.Err() == nil {
 		waited, cancel := context.WithTimeout(ctx, tellInterval)
@@ -87,19 +50,32 @@
 		case <-waited.Done():
 		}
 		cancel()
-		if !e.chosen() || !e.state.StoreAnswers() {
+		p := e.plan()
+		reads := e.Reads()
+		if p.size == 0 || !reads && p.standing(e.place.Inbound) == follower {
 			continue
 		}
+		e.introduce()
+		t := e.tale(reads && e.state.Follows())
 		now := e.state.Snapshot()
-		e.tell(e.tale(last, now))
+		e.tell(p.told(e.place.Inbound), t.after(last, now))
 		last = now
 	}
 	return nil
 }
 
-// tale makes what is told, with the delta from what was told last.
-func (e *Exchange) tale(last, now *bftraffic.Snapshot) tale {
-	t := tale{Version: e.state.Version(), Revision: e.state.Revision(), Peer: e.self}
+// tale makes what is told; reader says that the node's own calls follow the store.
+//
+// The revision is read before the version: taken the other way round, a change in between
+// would have an old version pass for the newest as of the change.
+func (e *Exchange) tale(reader bool) tale {
+	t := tale{AsOf: e.state.VersionAsOf(), Peer: e.self, Reader: reader, Fresh: reader || e.hears(&e.heard.reader)}
+	t.Version, t.Revision = e.state.Version(), e.state.Revision()
+	return t
+}
+
+// after adds the delta from what was told last.
+func (t tale) after(last, now *bftraffic.Snapshot) tale {
 	if last == nil || now == nil || now.Version() == last.Version() {
 		return t
 	}
@@ -112,11 +88,9 @@
 	return t
 }
 
-func (e *Exchange) tell(t tale) {
-	for _, m := range e.fleet.Members() {
-		if m.Domain == e.place.Domain && m.Peer != e.self {
-			e.tellOne(t, m.Peer)
-		}
+func (e *Exchange) tell(members []bffleet.Member, t tale) {
+	for _, m := range members {
+		e.tellOne(t, m.Peer)
 	}
 }
 
@@ -131,36 +105,53 @@
 	})
 }
 
-// hint tells the domain's readers of a version that came from elsewhere.
+// hint tells the relays of the domain and the sources what came from elsewhere.
 //
-// A store that forgot the readers' calls leaves a whole domain with an old version:
-// they take themselves for current, and the others hear them. Whoever first learns
-// better asks on behalf of all; each on its own asks once in two seconds.
+// A store that forgot the sources' calls leaves the fleet with an old version: they take
+// themselves for current, and the others hear them. Whoever first learns better asks on
+// behalf of all; each on its own asks once in two seconds.
 func (e *Exchange) hint() {
-	chosen := readers(e.place.Domain, e.fleet.Members())
-	if slices.Contains(chosen, e.place.Inbound) {
+	p := e.plan()
+	if p.size == 0 || p.standing(e.place.Inbound) != follower {
 		return
 	}
-	t := tale{Version: e.state.Version(), Revision: e.state.Revision(), Peer: e.self, Hint: true}
-	for _, inbound := range chosen {
-		if reader, found := e.fleet.Member(inbound); found {
-			e.tellOne(t, reader.Peer)
-		}
+	e.tell(p.guides(e.place.Inbound), tale{Version: e.state.Version(), Revision: e.state.Revision(), Peer: e.self, Hint: true})
+}
+
+// introduce tells the relays and the sources, at the first start of a fleet, who is
+// there: they may not have looked yet.
+func (e *Exchange) introduce() {
+	if e.first && e.heard.any.Load() == 0 && e.introduced.CompareAndSwap(false, true) {
+		e.hint()
 	}
 }
 
-// hear takes what a reader tells.
+// note remembers from what kind of node this one heard.
+func (e *Exchange) note(t tale) {
+	if t.Hint {
+		return
+	}
+	age := e.age()
+	e.heard.any.Store(age)
+	if t.Fresh {
+		e.heard.fresh.Store(age)
+	}
+	if t.Reader {
+		e.heard.reader.Store(age)
+	}
+}
+
+// hear takes what another node tells.
 func (e *Exchange) hear(_ context.Context, params json.RawMessage) (any, error) {
 	var t tale
 	if err := json.Unmarshal(params, &t); err != nil {
 		return nil, err
 	}
-	if !t.Hint {
-		e.told.Store(e.age())
-	}
+	e.note(t)
 	e.takeDelta(t.Delta)
+	e.state.TakeAsOf(t.Version, t.AsOf)
 	if e.behind(t.Version, t.Revision) && e.asking.CompareAndSwap(false, true) {
-		e.spawn("ask a reader", func(ctx context.Context) error {
+		e.spawn("ask a teller", func(ctx context.Context) error {
 			defer e.asking.Store(false)
 			e.put(ctx, t.Peer, true)
 			return nil
