Nodes have their rows written together

Change: bfbatch. What is not made so the node writes itself, at once; conditions make a second write harmless. Rows.Put and Remove become one Write of several rows, as the platform has it.

Ruled out: to have all wait for a node that gathers (nobody may have to live).

--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-kratos/kratos/v2/transport"
 
+	"bilberryflow.org/lib/bfbatch"
 	"bilberryflow.org/lib/bfbudget"
 	"bilberryflow.org/lib/bfentry"
 	"bilberryflow.org/lib/bfexchange"
@@ -54,6 +55,7 @@
 	pacer    *bfhost.Pacer
 	store    *bfdialect.Store
 	presence *bfpresence.Presence
+	batcher  *bfbatch.Batcher
 	state    *state
 	config   *bffollow.Follower
 	members  *bffollow.Follower
@@ -155,8 +157,10 @@
 
 func (n *node) followStore(store *bfdialect.Store) {
 	n.presence = bfpresence.New(bfpresence.Parts{
-		Table: membersTable, Key: n.common.Inbound, Rows: store, Timer: n.timer, Logger: n.logger, Metrics: n.metrics,
+		Table: membersTable, Key: n.common.Inbound, Rows: store, Together: n.writeTogether,
+		Timer: n.timer, Logger: n.logger, Metrics: n.metrics,
 	})
+	n.batcher = bfbatch.New(bfbatch.Parts{Table: membersTable, Rows: store, Timer: n.timer, Spawn: n.group.Go})
 	n.state = &state{
 		logger: n.logger, traffic: n.traffic, fleet: n.fleet, presence: n.presence, self: n.common.Inbound,
 		follows: n.follows, current: n.current, changed: n.stateChanged, recall: n.recall,
@@ -203,6 +207,23 @@
 		Fleet: n.fleet, Calls: n.calls, Timer: n.timer, Spawn: n.group.Go,
 	})
 	maps.Copy(methods, n.news.Methods())
+	maps.Copy(methods, n.batcher.Methods())
+}
+
+// writeTogether has the row written by the node that gathers writes: the fleet's first
+// source, or a seed where the fleet has yet to meet.
+func (n *node) writeTogether(ctx context.Context, write bfstore.RowWrite) (uint64, error) {
+	peer := n.news.Writer()
+	if peer == "" && n.settings.FirstStart {
+		peer = n.settings.seedPeer(n.common.Peer)
+	}
+	switch peer {
+	case "":
+		return 0, &bfbatch.NotMadeError{Reason: &bfstore.UnavailableError{Reason: "nobody is known who gathers writes"}}
+	case n.common.Peer:
+		return n.batcher.Write(ctx, write)
+	}
+	return bfbatch.Remote{Calls: n.calls, Peer: peer}.Write(ctx, write)
 }
 
 // forget removes the row of a member that is out of reach, so that nobody goes on
@@ -212,7 +233,7 @@
 		return
 	}
 	n.group.Go("forget a member", func(ctx context.Context) error {
-		err := n.store.Remove(ctx, membersTable, member.Inbound, member.Revision)
+		_, err := n.store.Write(ctx, membersTable, bfstore.RowWrite{Key: member.Inbound, Remove: true, Revision: member.Revision})
 		var conflict *bfstore.ConflictError
 		switch {
 		case errors.As(err, &conflict):
--- a/bfnode/internal/bfmesh/settings.go
+++ b/bfnode/internal/bfmesh/settings.go
@@ -1,6 +1,7 @@
 package bfmesh
 
 import (
+	"net"
 	"time"
 
 	"bilberryflow.org/lib/bfbudget"
@@ -13,6 +14,7 @@
 	Metrics    string              `json:"metrics,omitempty" jsonschema:"description=Port that shows /debug/vars beside the operator port, empty for none."`
 	Grace      bfsettings.Duration `json:"grace" jsonschema:"description=Time from SIGTERM to SIGKILL."`
 	LinkMbps   float64             `json:"linkMbps" jsonschema:"exclusiveMinimum=0,maximum=1000000,description=Bandwidth of the machine's link in Mbit/s."`
+	Seeds      []string            `json:"seeds,omitempty" jsonschema:"description=Addresses of nodes that may be there; their hosts take calls on this node's own peer port."`
 	FirstStart bool                `json:"firstStart,omitempty" jsonschema:"description=Whether the whole fleet starts for the first time: the store holds no member yet."`
 	Repeats    Repeats             `json:"repeats" jsonschema:"description=Bound of the repeats that all nodes together send to a service."`
 }
@@ -46,6 +48,20 @@
 	return int(min(max(m.linkBytes()*sendQueue.Seconds(), leastBuffer), mostBuffer))
 }
 
+// seedPeer is where the first seed takes calls from nodes, "" where there is none: all
+// nodes of a fleet have the same ports.
+func (m Mesh) seedPeer(own string) string {
+	if len(m.Seeds) == 0 {
+		return ""
+	}
+	host, _, errSeed := net.SplitHostPort(m.Seeds[0])
+	_, port, errOwn := net.SplitHostPort(own)
+	if errSeed != nil || errOwn != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, port)
+}
+
 func (r Repeats) terms() bfbudget.Terms {
 	return bfbudget.Terms{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window.Std()}
 }
--- a/bfplatform/internal/bfservice/rows_test.go
+++ b/bfplatform/internal/bfservice/rows_test.go
@@ -42,7 +42,7 @@
 	put := func(key, mode, delay string) error {
 		is.NoErr(faults.Switch(time.Now(), bffault.Order{Mode: bffault.Mode(mode), For: "1m", Delay: delay}))
 		defer faults.Clear()
-		_, err := store.Put(context.Background(), "members", key, []byte("v"), 0)
+		_, err := store.Write(context.Background(), "members", bfstore.RowWrite{Key: key, Value: []byte("v")})
 		return err
 	}
 	var unavailable *bfstore.UnavailableError
--- a/lib/bfnews/reading.go
+++ b/lib/bfnews/reading.go
@@ -131,3 +131,12 @@
 	_, known := e.fleet.Member(e.place.Inbound)
 	return !e.first && (!known || e.age() > int64(versionPatience))
 }
+
+// Writer is where the node takes calls that writes rows for all, "" where no member is known.
+func (e *Exchange) Writer() string {
+	p := e.plan()
+	if len(p.relays) == 0 {
+		return ""
+	}
+	return p.relays[0].Peer
+}
--- a/lib/bfpresence/presence.go
+++ b/lib/bfpresence/presence.go
@@ -16,12 +16,15 @@
 
 // Parts is what a Presence works with.
 type Parts struct {
-	Table   string
-	Key     string
-	Rows    bfstore.Rows
-	Timer   *bftimer.Service
-	Logger  *bflog.Logger
-	Metrics *bfmetric.Registry
+	Table string
+	Key   string
+	Rows  bfstore.Rows
+	// Together writes the row together with those of other nodes; nil, or an error other
+	// than ConflictError, has the node write it alone.
+	Together func(ctx context.Context, write bfstore.RowWrite) (uint64, error)
+	Timer    *bftimer.Service
+	Logger   *bflog.Logger
+	Metrics  *bfmetric.Registry
 }
 
 // Presence keeps one row true.
@@ -130,7 +133,6 @@
 	if !due {
 		return nil
 	}
-	p.writes.Add(1)
 	written, err := p.write(ctx, want, have)
 	var conflict *bfstore.ConflictError
 	if errors.As(err, &conflict) {
@@ -149,15 +151,27 @@
 	return nil
 }
 
+// write makes the row what it should be.
 func (p *Presence) write(ctx context.Context, want []byte, have bfstore.Entry) (bfstore.Entry, error) {
-	if want == nil {
-		err := p.parts.Rows.Remove(ctx, p.parts.Table, p.parts.Key, have.Revision)
-		return bfstore.Entry{Key: p.parts.Key, Revision: have.Revision, Removed: true}, err
-	}
-	expected := have.Revision
+	write := bfstore.RowWrite{Key: p.parts.Key, Value: want, Remove: want == nil, Revision: have.Revision}
 	if have.Removed {
-		expected = 0
+		write.Revision = 0
 	}
-	revision, err := p.parts.Rows.Put(ctx, p.parts.Table, p.parts.Key, want, expected)
-	return bfstore.Entry{Key: p.parts.Key, Value: want, Revision: revision}, err
+	revision, err := p.commit(ctx, write)
+	return bfstore.Entry{Key: write.Key, Value: want, Revision: revision, Removed: write.Remove}, err
+}
+
+// commit makes the write with others, or alone where that fails. The node that gathers
+// may have made it and its answer was lost: then the write alone is a conflict, and the
+// follower of the table brings what is there.
+func (p *Presence) commit(ctx context.Context, write bfstore.RowWrite) (uint64, error) {
+	if p.parts.Together != nil {
+		revision, err := p.parts.Together(ctx, write)
+		var conflict *bfstore.ConflictError
+		if err == nil || errors.As(err, &conflict) {
+			return revision, err
+		}
+	}
+	p.writes.Add(1)
+	return p.parts.Rows.Write(ctx, p.parts.Table, write)
 }
--- a/lib/bfpresence/presence_test.go
+++ b/lib/bfpresence/presence_test.go
@@ -52,16 +52,12 @@
 	return err
 }
 
-func (s *store) Put(ctx context.Context, table, key string, value []byte, revision uint64) (written uint64, err error) {
+func (s *store) Write(ctx context.Context, table string, writes ...bfstore.RowWrite) (revision uint64, err error) {
 	err = s.write(func() (err error) {
-		written, err = s.MemoryRows.Put(ctx, table, key, value, revision)
+		revision, err = s.MemoryRows.Write(ctx, table, writes...)
 		return err
 	})
-	return written, err
-}
-
-func (s *store) Remove(ctx context.Context, table, key string, revision uint64) error {
-	return s.write(func() error { return s.MemoryRows.Remove(ctx, table, key, revision) })
+	return revision, err
 }
 
 // row is the row as it stands, "" where there is none.
@@ -185,3 +181,36 @@
 		is.Equal(s.count(), 1)
 	})
 }
+
+// The node that writes rows for all is gone, or does not say how the write ended: it may
+// have been made. The row is written alone, and neither twice nor not at all.
+func TestRowIsWrittenAloneWhereNobodyGathers(t *testing.T) {
+	for _, made := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := &store{MemoryRows: bfstore.NewMemoryRows()}
+			timer := bftimer.New(1)
+			p := New(Parts{
+				Table: "members", Key: "self", Rows: s, Timer: timer, Logger: bflog.Discard(), Metrics: bfmetric.New(),
+				Together: func(ctx context.Context, write bfstore.RowWrite) (uint64, error) {
+					if made {
+						// The second time it is a conflict: the first was made.
+						_, _ = s.MemoryRows.Write(ctx, "members", write)
+					}
+					return 0, context.DeadlineExceeded
+				},
+			})
+			group := bfgroup.New(context.Background())
+			group.Go("timer", timer.Run)
+			group.Go("presence", p.Run)
+			p.Seen(bfstore.Entry{Key: "self", Removed: true})
+			p.Want([]byte("here"))
+			time.Sleep(time.Second)
+			is.Equal(string(s.row().Value), "here")
+			is.Equal(s.row().Revision, uint64(1))
+			is.True(s.count() <= 2)
+			group.Cancel()
+			is.NoErr(group.Wait())
+		})
+	}
+}
--- a/lib/bfstore/memoryrows.go
+++ b/lib/bfstore/memoryrows.go
@@ -73,38 +73,50 @@
 }
 
 // Put writes a row that still has the revision.
-func (m *MemoryRows) Put(_ context.Context, table, key string, value []byte, revision uint64) (uint64, error) {
-	return m.write(table, Entry{Key: key, Value: value}, revision)
+func (m *MemoryRows) Put(ctx context.Context, table, key string, value []byte, revision uint64) (uint64, error) {
+	return m.Write(ctx, table, RowWrite{Key: key, Value: value, Revision: revision})
 }
 
 // Remove removes a row that still has the revision.
-func (m *MemoryRows) Remove(_ context.Context, table, key string, revision uint64) error {
-	_, err := m.write(table, Entry{Key: key, Removed: true}, revision)
+func (m *MemoryRows) Remove(ctx context.Context, table, key string, revision uint64) error {
+	_, err := m.Write(ctx, table, RowWrite{Key: key, Remove: true, Revision: revision})
 	return err
 }
 
-func (m *MemoryRows) write(table string, entry Entry, revision uint64) (uint64, error) {
+// Write makes all of the writes or none of them.
+func (m *MemoryRows) Write(_ context.Context, table string, writes ...RowWrite) (uint64, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	held := m.tables[table][entry.Key]
-	present := held.Revision
-	if held.Removed {
-		present = 0
-	}
-	if present != revision {
-		return 0, &ConflictError{Row: Row{Key: entry.Key, Value: held.Value, Revision: present}}
+	for _, w := range writes {
+		if err := m.check(table, w); err != nil {
+			return 0, err
+		}
 	}
 	if m.tables[table] == nil {
 		m.tables[table] = map[string]Entry{}
 	}
 	m.revision++
-	entry.Revision = m.revision
-	m.tables[table][entry.Key] = entry
+	for _, w := range writes {
+		m.tables[table][w.Key] = Entry{Key: w.Key, Value: w.Value, Revision: m.revision, Removed: w.Remove}
+	}
 	close(m.changed)
 	m.changed = make(chan struct{})
 	return m.revision, nil
 }
 
+// check reports a row that is not as a write expects it; it needs the lock.
+func (m *MemoryRows) check(table string, w RowWrite) error {
+	held := m.tables[table][w.Key]
+	present := held.Revision
+	if held.Removed {
+		present = 0
+	}
+	if present != w.Revision {
+		return &ConflictError{Row: Row{Key: w.Key, Value: held.Value, Revision: present}}
+	}
+	return nil
+}
+
 // DropHistory forgets all changes so far: who follows from before must list anew.
 func (m *MemoryRows) DropHistory() {
 	m.mu.Lock()
--- a/lib/bfstore/rows.go
+++ b/lib/bfstore/rows.go
@@ -20,10 +20,22 @@
 	List(ctx context.Context, table string) ([]Entry, uint64, error)
 	// Changes waits for rows changed after a revision, at most wait; the revision returned is where to go on.
 	Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Entry, uint64, error)
-	// Put writes a row that still has the revision, 0 for one that does not exist, and returns the new one.
-	Put(ctx context.Context, table, key string, value []byte, revision uint64) (uint64, error)
-	// Remove removes a row that still has the revision.
-	Remove(ctx context.Context, table, key string, revision uint64) error
+	// Write makes all of the writes or none of them, and returns the revision that the rows
+	// then have. Its errors are ConflictError, UnavailableError and UnknownError.
+	Write(ctx context.Context, table string, writes ...RowWrite) (uint64, error)
+}
+
+// MaxWrites is how many writes may be made together: the platform's own limit.
+const MaxWrites = 100
+
+// RowWrite is what becomes of one row.
+type RowWrite struct {
+	Key string
+	// Value is what the row holds then; Remove says that it is gone instead.
+	Value  []byte
+	Remove bool
+	// Revision is the one that the row must still have, 0 for one that does not exist.
+	Revision uint64
 }
 
 // HistoryError reports that the changes after a revision are no longer kept: the table must be listed anew.
