News of members that a peer brought are passed on at once

Cause: of 195 nodes at a first start 89 listed the members before they were told, by their log lines.

Change: a list that a peer brought wakes the telling, as one read from the store does. Nodes look on their own after 2 to 4 s instead of 3.5 s, and a first version is waited for 5 s as before, now by a constant of its own.

--- a/bfnode/internal/bfmesh/state.go
+++ b/bfnode/internal/bfmesh/state.go
@@ -192,6 +192,7 @@
 	if !s.replace(roster) {
 		return
 	}
+	s.changed()
 	s.logger.Emit(bflog.FleetChanged, slog.Int("members", s.fleet.Size()), slog.Bool("from_peer", true))
 	own, found := s.fleet.Member(s.self)
 	if !found {
--- a/lib/bfnews/reading.go
+++ b/lib/bfnews/reading.go
@@ -24,7 +24,9 @@
 	// relays, and those everybody else. Where each looked at once and again after two
 	// seconds, 195 nodes made 930 calls before the first request came.
 	firstMeeting  = 2 * time.Second
-	meetingSpread = 1500 * time.Millisecond
+	meetingSpread = 2 * time.Second
+	// firstVersionPatience is how long a node waits then for the first version.
+	firstVersionPatience = 5 * time.Second
 	// versionPatience is how long a node that is new to the fleet waits for another one
 	// to bring the version in force. Its target takes some seconds to warm up.
 	versionPatience = 500 * time.Millisecond
@@ -76,7 +78,7 @@
 	_, known := e.fleet.Member(e.place.Inbound)
 	switch {
 	case e.first:
-		return p.size > 0 && p.standing(e.place.Inbound) == source || e.age() > int64(firstMeeting+2*meetingSpread)
+		return p.size > 0 && p.standing(e.place.Inbound) == source || e.age() > int64(firstVersionPatience)
 	case p.size == 0:
 		return e.age() > int64(strandedAfter)
 	}
