Members are told by what changed, not as whole lists

Change: who tells others adds what changed among the members since it told last. It fits whoever was told then; all others ask for the whole as before.

Ruled out: to take a delta whose base is older than what is held.

--- a/bfnode/internal/bfmesh/state.go
+++ b/bfnode/internal/bfmesh/state.go
@@ -189,38 +189,48 @@
 
 // TakeRoster takes another node's members if they are known as of a later revision.
 func (s *state) TakeRoster(roster bfnews.Roster) {
-	if !s.replace(roster) {
+	s.brought(roster.Revision, func(held uint64) bool { return roster.Revision > held }, func() { s.fleet.Replace(roster.Members) })
+}
+
+// TakeMembers takes what changed among another node's members, if that fits.
+func (s *state) TakeMembers(delta bfnews.MembersDelta) {
+	s.brought(delta.Revision, delta.Fits, func() { s.fleet.Change(delta.Changed, delta.Gone) })
+}
+
+// brought takes members that another node brought and that are known as of a revision, if
+// they fit what is held.
+func (s *state) brought(revision uint64, fits func(held uint64) bool, take func()) {
+	s.mu.Lock()
+	if !fits(s.revision) {
+		s.mu.Unlock()
 		return
 	}
+	s.revision = revision
+	s.listed.mark()
+	take()
+	s.mu.Unlock()
 	s.changed()
 	s.logger.Emit(bflog.FleetChanged, slog.Int("members", s.fleet.Size()), slog.Bool("from_peer", true))
+	s.seeOwn(revision)
+}
+
+// seeOwn has the node's own row kept true by what another node brought: one that others
+// removed is written again, also by a node that does not read the store itself.
+func (s *state) seeOwn(revision uint64) {
 	own, found := s.fleet.Member(s.self)
 	if !found {
-		// A row that others removed is written again, also by a node that others read for.
-		s.presence.Seen(bfstore.Entry{Key: s.self, Removed: true, Revision: roster.Revision})
+		s.presence.Seen(bfstore.Entry{Key: s.self, Removed: true, Revision: revision})
 		return
 	}
 	s.recall(own)
-	revision := own.Revision
-	own.Revision = 0
+	written := own.Revision
+	own.Revision = 0 // the row itself does not hold it
 	value, err := own.Encode()
 	if err != nil {
 		s.logger.Emit(bflog.InvariantBroken, bflog.Err(err))
 		return
 	}
-	s.presence.Seen(bfstore.Entry{Key: s.self, Value: value, Revision: revision})
-}
-
-func (s *state) replace(roster bfnews.Roster) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if roster.Revision <= s.revision {
-		return false
-	}
-	s.revision = roster.Revision
-	s.listed.mark()
-	s.fleet.Replace(roster.Members)
-	return true
+	s.presence.Seen(bfstore.Entry{Key: s.self, Value: value, Revision: written})
 }
 
 // VersionAsOf is the store's revision as of which the version in force is the newest one.
--- a/lib/bfnews/news.go
+++ b/lib/bfnews/news.go
@@ -43,8 +43,10 @@
 	TakeSpec(spec bftraffic.Spec)
 	// TakeDelta takes what another node's newer configuration changes, if it fits.
 	TakeDelta(delta bftraffic.Delta)
-	// TakeRoster takes another node's members if they are known as of a later revision.
+	// TakeRoster takes another node's members if they are known as of a later revision,
+	// TakeMembers what changed among them if that fits.
 	TakeRoster(roster Roster)
+	TakeMembers(delta MembersDelta)
 	// Current reports whether what is held follows the store, by this node's own
 	// calls or by the word of one that does.
 	Current() bool
--- a/lib/bfnews/news_test.go
+++ b/lib/bfnews/news_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"bilberryflow.org/lib/bffleet"
 	"bilberryflow.org/lib/bfgroup"
@@ -25,10 +27,12 @@
 	traffic *bftraffic.Holder
 	// wholes counts the whole configurations that were taken, deltas the rest.
 	wholes, deltas int
-	roster         Roster
-	current        bool
-	fleet          *bffleet.Fleet
-	address        string
+	// memberDeltas counts the changes of members that were taken.
+	memberDeltas int
+	roster       Roster
+	current      bool
+	fleet        *bffleet.Fleet
+	address      string
 }
 
 func (h *holding) Version() bftraffic.Version { return h.traffic.Version() }
@@ -89,6 +93,16 @@
 	}
 }
 
+func (h *holding) TakeMembers(delta MembersDelta) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if delta.Fits(h.roster.Revision) {
+		h.fleet.Change(delta.Changed, delta.Gone)
+		h.roster = Roster{Revision: delta.Revision, Members: h.fleet.Members()}
+		h.memberDeltas++
+	}
+}
+
 func (h *holding) Current() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -326,6 +340,68 @@
 	return true
 }
 
+// Whatever rows change between two rosters, the delta leads from one to the other; who
+// holds another state does not take it, or a row that came and went would stay.
+func TestMembersDeltaLeadsOn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rows := map[string]bffleet.Member{}
+		var states []Roster
+		for revision := range uint64(rapid.IntRange(2, 12).Draw(t, "revisions")) {
+			key := fmt.Sprint("in-", rapid.IntRange(0, 4).Draw(t, "row"))
+			if rapid.Bool().Draw(t, "removed") {
+				delete(rows, key)
+			} else {
+				rows[key] = bffleet.Member{Inbound: key, Revision: revision + 1}
+			}
+			states = append(states, Roster{Revision: revision + 1, Members: slices.Collect(maps.Values(rows))})
+		}
+		last := states[len(states)-1]
+		delta := membersDelta(states[rapid.IntRange(0, len(states)-2).Draw(t, "from")], last)
+		held := states[rapid.IntRange(0, len(states)-1).Draw(t, "held")]
+		if !delta.Fits(held.Revision) {
+			return
+		}
+		f := bffleet.New(bffleet.Place{})
+		f.Replace(held.Members)
+		f.Change(delta.Changed, delta.Gone)
+		got, want := f.Members(), slices.Clone(last.Members)
+		slices.SortFunc(got, order)
+		slices.SortFunc(want, order)
+		if !slices.Equal(got, want) {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+	})
+}
+
+// One target of a domain leaves and another one comes. All members hear of it within a
+// moment, and none has to ask for the whole list.
+func TestMembersAreToldByWhatChanged(t *testing.T) {
+	is := is.New(t)
+	group := bfgroup.New(context.Background())
+	defer group.Cancel()
+	timer := bftimer.New(1)
+	group.Go("timer", timer.Run)
+	d := newDomain(t, timer, 4)
+	await(t, "the sources alone read", func() bool { return len(d.reading()) == sourcesPerFleet })
+	last := d.states[d.plan.domain[3].Inbound]
+	await(t, "the last one hears", d.exchanges[last.address].HearsFresh)
+	source := d.plan.relays[0].Inbound
+	next := append(slices.Clone(d.members), bffleet.Member{Inbound: "new", Domain: "nord"})
+	d.states[source].TakeRoster(Roster{Revision: 5, Members: next})
+	d.exchanges[source].Changed()
+	await(t, "all know the new one", func() bool {
+		for _, state := range d.states {
+			if state.Revision() != 5 {
+				return false
+			}
+		}
+		return true
+	})
+	last.mu.Lock()
+	defer last.mu.Unlock()
+	is.Equal(last.memberDeltas, 1)
+}
+
 // The sources hear a version from the store. The others do not read it themselves and
 // must hold it within a second, by what changed alone. Then the store turns the sources
 // away: the others ask their neighbours, and do not all turn to the store.
--- a/lib/bfnews/tell.go
+++ b/lib/bfnews/tell.go
@@ -20,8 +20,9 @@
 	// AsOf is the store's revision as of which the version is the newest one.
 	AsOf uint64 `json:"as_of,omitempty"`
 	Peer string `json:"peer"`
-	// Delta is a bftraffic.Delta in CBOR, empty where nothing changed.
-	Delta []byte `json:"delta,omitempty"`
+	// Delta is a bftraffic.Delta in CBOR, Members a MembersDelta; empty where nothing changed.
+	Delta   []byte `json:"delta,omitempty"`
+	Members []byte `json:"members,omitempty"`
 	// Fresh says that the teller follows the store, Reader that its own calls do and not
 	// those of another node that it hears. Two that the store turns away would else take
 	// each other's word for it.
@@ -42,7 +43,7 @@
 // tellOthers tells those who hear from this node, also while the store does not answer
 // it: they are to ask other nodes then, and not the store each on its own.
 func (e *Exchange) tellOthers(ctx context.Context) error {
-	var last *bftraffic.Snapshot
+	var last told
 	for ctx.Err() == nil {
 		waited, cancel := context.WithTimeout(ctx, tellInterval)
 		select {
@@ -57,7 +58,7 @@
 		}
 		e.introduce()
 		t := e.tale(reads && e.state.Follows())
-		now := e.state.Snapshot()
+		now := e.holds(last)
 		e.tell(p.told(e.place.Inbound), t.after(last, now))
 		last = now
 	}
@@ -74,20 +75,46 @@
 	return t
 }
 
-// after adds the delta from what was told last.
-func (t tale) after(last, now *bftraffic.Snapshot) tale {
-	if last == nil || now == nil || now.Version() == last.Version() {
-		return t
+// told is what a node held when it last told others.
+type told struct {
+	snapshot *bftraffic.Snapshot
+	roster   Roster
+}
+
+// holds is what the node holds now; the members are copied where they have changed.
+func (e *Exchange) holds(last told) told {
+	now := told{snapshot: e.state.Snapshot(), roster: last.roster}
+	if e.state.Revision() != last.roster.Revision {
+		now.roster = e.state.Roster()
 	}
-	t.Version = now.Version()
-	delta, err := bfcodec.Marshal(bftraffic.DeltaOf(last, now))
-	if err == nil {
-		// Without a delta the others ask.
-		t.Delta = delta
+	return now
+}
+
+// after adds what changed since others were told last. They ask for what they miss.
+//
+// A list of all 195 members has 25 kB. Told whole to each member of a domain at each
+// change, it was sent 7,200 times on a calm day on which 150 rows changed.
+func (t tale) after(last, now told) tale {
+	if last.snapshot != nil && now.snapshot != nil && now.snapshot.Version() != last.snapshot.Version() {
+		t.Version = now.snapshot.Version()
+		t.Delta = encoded(bftraffic.DeltaOf(last.snapshot, now.snapshot))
+	}
+	if last.roster.Revision > 0 && now.roster.Revision != last.roster.Revision {
+		t.Revision = now.roster.Revision
+		t.Members = encoded(membersDelta(last.roster, now.roster))
 	}
 	return t
 }
 
+// encoded is a message in CBOR, empty where it can't be written: the others ask then.
+func encoded(message any) []byte {
+	data, err := bfcodec.Marshal(message)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
 func (e *Exchange) tell(members []bffleet.Member, t tale) {
 	for _, m := range members {
 		e.tellOne(t, m.Peer)
@@ -149,6 +176,7 @@
 	}
 	e.note(t)
 	e.takeDelta(t.Delta)
+	e.takeMembers(t.Members)
 	e.state.TakeAsOf(t.Version, t.AsOf)
 	if e.behind(t.Version, t.Revision) && e.asking.CompareAndSwap(false, true) {
 		e.spawn("ask a teller", func(ctx context.Context) error {
@@ -168,3 +196,11 @@
 		e.state.TakeDelta(delta)
 	}
 }
+
+// takeMembers takes encoded changes of the members, if there are any.
+func (e *Exchange) takeMembers(encoded []byte) {
+	var delta MembersDelta
+	if len(encoded) > 0 && bfcodec.Unmarshal(encoded, "members", &delta) == nil {
+		e.state.TakeMembers(delta)
+	}
+}
