Scarce repeats go to runs that lack one call, and what was earned lately is kept

Cause, by a replay of 28 nodes whose look-ups make two calls each while 0.38 of them are shed: a third of what the terms allow was not used, since a node that saves half a repeat loses what it earns between two sheds; and repeats went alike to runs of which one call was shed and to those of which both were, which cost twice as much to save.

Change: a node saves what its own requests earned within a second beside its part of the slack (a tenth of a window's earnings carried on). Where less than three quarters of that is left, a call is repeated only if it is the last one missing to its run; one that is shed waits 10 ms to hear of the others. A repeated parent leaves the same part.

Ruled out: the choice alone without the savings (387 failed instead of 380: nothing was scarce, all was lost between sheds); a part of 0.5 (348) and 0.9 (333, and nothing left to callers' requests) instead of 0.75 (339); all alike 362.

--- a/lib/bfbudget/account.go
+++ b/lib/bfbudget/account.go
@@ -34,7 +34,7 @@
 
 // Sent counts a request that is sent to a service, before any repeat of it.
 func (a *Account) Sent(service string) {
-	a.of(service).earn(a.options.Terms, a.options.Nodes())
+	a.of(service).earn(a.options.Terms, a.options.Nodes(), a.options.Now())
 }
 
 // Take spends one repeat of a request to a service, and reports whether there was one.
@@ -42,13 +42,15 @@
 
 // Return gives back a repeat that was taken and reached no target.
 func (a *Account) Return(service string) {
-	a.of(service).back(1, a.options.Terms, a.options.Nodes())
+	a.back(service, 1)
 }
 
 func (a *Account) take(service string, amount, floor float64) bool {
-	b := a.of(service)
-	b.refill(a.options.Terms, a.options.Nodes(), a.options.Now())
-	return b.take(amount, floor, a.options.Terms.part(savedShare, a.options.Nodes()))
+	return a.of(service).take(amount, floor, a.options.Terms, a.options.Nodes(), a.options.Now())
+}
+
+func (a *Account) back(service string, amount float64) {
+	a.of(service).back(amount, a.options.Terms, a.options.Nodes(), a.options.Now())
 }
 
 // of is the bucket of a service. Services come from the configuration, so their number
--- a/lib/bfbudget/run.go
+++ b/lib/bfbudget/run.go
@@ -34,6 +34,8 @@
 	// for them and is not used yet.
 	made     map[string]int
 	reserved map[string]float64
+	// open is how many calls are in progress, shed how many of these a target shed.
+	open, shed int
 }
 
 // Begin opens a run of a class; ok is false where it is a repeat whose calls the
@@ -45,7 +47,7 @@
 	}
 	run.repeat = true
 	for service, calls := range a.habits.of(class) {
-		if !a.take(service, calls, a.floor(origin)) {
+		if !a.take(service, calls, a.floor(service, origin)) {
 			run.giveBack()
 			return nil, false
 		}
@@ -58,15 +60,23 @@
 }
 
 // floor is what a run leaves of what the node may spend on calls.
-func (a *Account) floor(origin Origin) float64 {
+func (a *Account) floor(service string, origin Origin) float64 {
 	terms, nodes := a.options.Terms, a.options.Nodes()
 	if _, inherited := origin.(Inherited); inherited {
 		// Refused, it would fail the parent, whose repeat is paid and running.
 		return -terms.part(owedShare, nodes)
 	}
-	return callsShare * terms.part(savedShare, nodes)
+	return a.kept(service)
 }
 
+// kept is what only calls that are the last ones missing to their run may spend.
+func (a *Account) kept(service string) float64 {
+	return callsShare * a.of(service).most(a.options.Terms, a.options.Nodes(), a.options.Now())
+}
+
+// isPlenty reports whether more is left than what is kept, and a repeat beside it.
+func (a *Account) isPlenty(service string) bool { return a.of(service).value() >= a.kept(service)+1 }
+
 // IsRepeat reports whether the target works on the request as a repeat.
 func (r *Run) IsRepeat() bool { return r.repeat }
 
@@ -77,12 +87,13 @@
 // would spend a repeat on a run that fails all the same.
 func (r *Run) HasFailed() bool { return r.failed.Load() }
 
-// Call counts a nested call of the run to a service.
+// Call counts a nested call of the run to a service; Return must follow.
 func (r *Run) Call(service string) {
 	if !r.repeat {
 		r.account.Sent(service)
 	}
 	r.mu.Lock()
+	r.open++
 	if r.made == nil {
 		r.made = map[string]int{}
 	}
@@ -100,6 +111,47 @@
 	}
 }
 
+// Shed counts a call that a target shed, and reports whether it is worth while to hear
+// of the other calls in progress before one of them is repeated: where there is little
+// left to spend.
+func (r *Run) Shed(service string) (waits bool) {
+	r.mu.Lock()
+	r.shed++
+	others := r.open > r.shed
+	r.mu.Unlock()
+	return others && !r.account.isPlenty(service)
+}
+
+// Take spends a repeat on a call of the run that was shed.
+//
+// A run needs all its calls. One that has two to repeat costs twice as much to save, and
+// each repeat may be shed again: where repeats are scarce, those that lack one call get
+// them. In a replay of 4,400 requests, a quarter of which ran while 0.38 of their calls
+// were shed, 339 failed so, and 362 where all asked alike.
+func (r *Run) Take(service string) bool {
+	if r.HasFailed() {
+		return false
+	}
+	r.mu.Lock()
+	several := r.shed > 1
+	r.mu.Unlock()
+	floor := 0.0
+	if several {
+		floor = r.account.kept(service)
+	}
+	return r.account.take(service, 1, floor)
+}
+
+// Return counts the end of a call; wasShed says that a target shed it on the way.
+func (r *Run) Return(wasShed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.open--
+	if wasShed {
+		r.shed--
+	}
+}
+
 // End closes the run, which has been handed to the target, and learns what it called.
 func (r *Run) End() {
 	r.giveBack()
@@ -116,6 +168,6 @@
 	r.reserved = nil
 	r.mu.Unlock()
 	for service, amount := range left {
-		r.account.of(service).back(amount, r.account.options.Terms, r.account.options.Nodes())
+		r.account.back(service, amount)
 	}
 }
--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -36,6 +36,8 @@
 	sent  int
 	// ran is the end of an earlier sending that has run or may have, nil where there is none.
 	ran bfhost.Result
+	// shed says that a target shed this nested call.
+	shed bool
 	// granted says that a repeat was granted which has not reached a target yet.
 	granted bool
 	// lastTook is how long the newest sending took.
@@ -57,8 +59,11 @@
 	if c.granted {
 		c.handler.parts.Account.Return(c.service)
 	}
-	if c.parent != nil && !served(end) {
-		c.parent.Fail()
+	if c.parent != nil {
+		c.parent.Return(c.shed)
+		if !served(end) {
+			c.parent.Fail()
+		}
 	}
 	if shed, ok := end.(bfhost.Shed); ok {
 		shed.RetryAfter = c.comeBack()
@@ -112,6 +117,7 @@
 	switch end := end.(type) {
 	case bfhost.Shed:
 		c.reached()
+		c.noteShed(ctx)
 		return c.mayRepeat(ctx)
 	case bfhost.Lost:
 		c.reached()
@@ -135,6 +141,22 @@
 	return false
 }
 
+// siblingPause is how long a nested call that was shed waits to hear of those that its
+// target made with it: a target sheds at once, a few milliseconds away.
+const siblingPause = 10 * time.Millisecond
+
+// noteShed has the run that this call is nested in know that it was shed.
+func (c *call) noteShed(ctx context.Context) {
+	if c.parent == nil || c.shed {
+		return
+	}
+	c.shed = true
+	if c.parent.Shed(c.service) {
+		// Cut short, the call ends by its own context.
+		_ = c.handler.parts.Timer.Wait(ctx, siblingPause)
+	}
+}
+
 // reached counts a sending that a target may have seen.
 func (c *call) reached() {
 	c.sent++
@@ -210,10 +232,12 @@
 		return false
 	case c.deadline.Sub(now) < c.route.Objective()/leastTime:
 		return false
-	case c.parent != nil && c.parent.HasFailed():
-		return false
 	}
-	c.granted = c.handler.parts.Account.Take(c.service)
+	if c.parent != nil {
+		c.granted = c.parent.Take(c.service)
+	} else {
+		c.granted = c.handler.parts.Account.Take(c.service)
+	}
 	return c.granted
 }
 
