Any node that is current has lost members forgotten, by one write

Cause, by reading: a row of a lost machine was removed by a node whose last calls to the store were answered. Since most nodes make none any more, few were left that did, and a lost machine's row stayed until a source missed it.

Change: any node whose members follow the store hands the removal to the node that gathers writes; equal writes are made once, since many find the loss at the same moment. The gauge store_answers becomes store_followed.

Test: forty removals of one row are one call.

--- a/bfnode/internal/bfmesh/metrics.go
+++ b/bfnode/internal/bfmesh/metrics.go
@@ -15,7 +15,7 @@
 	gauge("members_lost", func() int64 { return int64(n.fleet.Lost()) })
 	gauge("members_revision", func() int64 { return int64(n.state.Revision()) })
 	gauge("members_since_ms", ageMs(&n.state.listed))
-	gauge("store_answers", func() int64 { return truth(n.answers()) })
+	gauge("store_followed", func() int64 { return truth(n.follows()) })
 	gauge("current", func() int64 { return truth(n.current()) })
 	gauge("slots", func() int64 { _, slots := n.host.Load(); return int64(slots) })
 	gauge("slots_used_or_waited_for", func() int64 { used, _ := n.host.Load(); return int64(used) })
--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -196,9 +196,6 @@
 // follows reports whether the node's own calls follow the store now.
 func (n *node) follows() bool { return n.config.Follows() && n.members.Follows() }
 
-// answers reports whether the store answered this node's last calls.
-func (n *node) answers() bool { return n.config.Healthy() && n.members.Healthy() }
-
 func (n *node) talkToNodes() {
 	methods := bfpeer.Methods{}
 	n.calls = bfpeer.NewCalls(methods, bfpeer.NewTraffic(n.metrics), n.group)
@@ -227,26 +224,36 @@
 }
 
 // forget removes the row of a member that is out of reach, so that nobody goes on
-// looking for a machine that is gone. Whoever is first does it for all.
+// looking for a machine that is gone. Whoever is first does it for all. A node whose
+// members do not follow the store is itself the one that may be cut off.
 func (n *node) forget(member bffleet.Member) {
-	if !n.answers() || member.Revision == 0 {
+	if !n.current() || member.Revision == 0 {
 		return
 	}
 	n.group.Go("forget a member", func(ctx context.Context) error {
-		_, err := n.store.Write(ctx, membersTable, bfstore.RowWrite{Key: member.Inbound, Remove: true, Revision: member.Revision})
-		var conflict *bfstore.ConflictError
-		switch {
-		case errors.As(err, &conflict):
-			// Another node was first, or the member has written its row again.
-		case err != nil:
-			n.logger.Emit(bflog.AnnounceError, slog.String("member", member.Inbound), bflog.Err(err))
-		default:
-			n.logger.Emit(bflog.RowForgotten, slog.String("member", member.Inbound))
-		}
+		n.remove(ctx, member)
 		return nil
 	})
 }
 
+func (n *node) remove(ctx context.Context, member bffleet.Member) {
+	write := bfstore.RowWrite{Key: member.Inbound, Remove: true, Revision: member.Revision}
+	_, err := n.writeTogether(ctx, write)
+	var notMade *bfbatch.NotMadeError
+	if errors.As(err, &notMade) {
+		_, err = n.store.Write(ctx, membersTable, write)
+	}
+	var conflict *bfstore.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		// Another node was first, or the member has written its row again.
+	case err != nil:
+		n.logger.Emit(bflog.AnnounceError, slog.String("member", member.Inbound), bflog.Err(err))
+	default:
+		n.logger.Emit(bflog.RowForgotten, slog.String("member", member.Inbound))
+	}
+}
+
 // targetChanged has the table of members follow what the target does.
 func (n *node) targetChanged(target *bfhost.Target) {
 	if target == nil {
--- a/lib/bfbatch/batch.go
+++ b/lib/bfbatch/batch.go
@@ -1,6 +1,7 @@
 package bfbatch
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"slices"
@@ -97,41 +98,57 @@
 	}
 }
 
-// take gives the next batch: one write a row, as many as one call takes. Where nothing
-// waits the gathering ends.
-func (b *Batcher) take() []*pending {
+// take gives the next batch: one write a row, as many as one call takes. Those that want
+// the same of a row share one write: many nodes find at once that a machine is gone. Where
+// nothing waits the gathering ends.
+func (b *Batcher) take() (batch []*shared) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var batch, left []*pending
+	var left []*pending
 	for _, p := range b.waiting {
-		same := func(other *pending) bool { return other.write.Key == p.write.Key }
-		if len(batch) == bfstore.MaxWrites || slices.ContainsFunc(batch, same) {
+		at := slices.IndexFunc(batch, func(s *shared) bool { return s.write.Key == p.write.Key })
+		switch {
+		case at < 0 && len(batch) < bfstore.MaxWrites:
+			batch = append(batch, &shared{p.write, []*pending{p}})
+		case at >= 0 && batch[at].wants(p.write):
+			batch[at].waiting = append(batch[at].waiting, p)
+		default:
 			left = append(left, p)
-			continue
 		}
-		batch = append(batch, p)
 	}
 	b.waiting = left
 	b.gathering = len(batch) > 0
 	return batch
 }
 
+// shared is one write of a batch and those that wait for it.
+type shared struct {
+	write   bfstore.RowWrite
+	waiting []*pending
+}
+
+func (s *shared) wants(w bfstore.RowWrite) bool {
+	return s.write.Remove == w.Remove && s.write.Revision == w.Revision && bytes.Equal(s.write.Value, w.Value)
+}
+
 // commit makes a batch and tells all that wait for it.
 //
 // One row that is not as its write expects has the store make none of them. The others
 // are then told to write on their own: that happens where a row was written by two
 // nodes at once.
-func (b *Batcher) commit(ctx context.Context, batch []*pending) {
+func (b *Batcher) commit(ctx context.Context, batch []*shared) {
 	var writes []bfstore.RowWrite
-	for _, p := range batch {
-		writes = append(writes, p.write)
+	for _, s := range batch {
+		writes = append(writes, s.write)
 	}
 	revision, err := b.parts.Rows.Write(ctx, b.parts.Table, writes...)
 	var conflict *bfstore.ConflictError
 	if len(batch) > 1 && errors.As(err, &conflict) {
 		err = &NotMadeError{Reason: err}
 	}
-	for _, p := range batch {
-		p.done <- result{revision, err}
+	for _, s := range batch {
+		for _, p := range s.waiting {
+			p.done <- result{revision, err}
+		}
 	}
 }
--- a/lib/bfbatch/batch_test.go
+++ b/lib/bfbatch/batch_test.go
@@ -118,6 +118,21 @@
 	})
 }
 
+// Forty nodes find that a machine is gone, and each has its row removed. That is one
+// write, and each of them hears how it ended.
+func TestSameWriteIsMadeOnce(t *testing.T) {
+	under(t, func(is *is.I, rows *counted, b *Batcher, group *bfgroup.Group) {
+		revision, err := rows.Put(context.Background(), "members", "lost", []byte("v"), 0)
+		is.NoErr(err)
+		var writes []bfstore.RowWrite
+		for range 40 {
+			writes = append(writes, bfstore.RowWrite{Key: "lost", Remove: true, Revision: revision})
+		}
+		is.NoErr(errors.Join(write(group, b, writes...)...))
+		is.Equal(rows.calls, 1)
+	})
+}
+
 // The node that gathers is gone. The write fails at once and not after a timeout, with
 // the word that the node is to write itself.
 func TestGathererThatIsGone(t *testing.T) {
