Operators see who reads the store for whom, and what became of repeats

Cause: nothing told which nodes are sources and relays, nor that a repeat was refused where its calls are paid: a 500 of a parent left no trace of why it was not repeated.

No decision changes.

--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -201,7 +201,7 @@
 	n.calls = bfpeer.NewCalls(methods, bfpeer.NewTraffic(n.metrics), n.group)
 	n.news = bfnews.New(bfnews.Parts{
 		Self: n.common.Peer, Place: place(n.common, n.settings), First: n.settings.FirstStart, State: n.state,
-		Fleet: n.fleet, Calls: n.calls, Timer: n.timer, Spawn: n.group.Go,
+		Fleet: n.fleet, Calls: n.calls, Timer: n.timer, Logger: n.logger, Spawn: n.group.Go,
 	})
 	maps.Copy(methods, n.news.Methods())
 	maps.Copy(methods, n.batcher.Methods())
--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -108,7 +108,11 @@
 // isFinal reports whether no other target is asked after a refusal. The nodes share the
 // budgets by which one of them refuses a repeat: the others hold as little.
 func (c *call) isFinal(refused bfhost.Refused) bool {
-	return c.last && refused.Reason == bfhost.Full || refused.Reason == bfhost.Unborne
+	if refused.Reason == bfhost.Unborne {
+		c.handler.metrics.unborne()
+		return true
+	}
+	return c.last && refused.Reason == bfhost.Full
 }
 
 // goesOn reports whether the request is sent once more after a sending that a
@@ -238,6 +242,7 @@
 	} else {
 		c.granted = c.handler.parts.Account.Take(c.service)
 	}
+	c.handler.metrics.repeated(c.granted)
 	return c.granted
 }
 
--- a/lib/bfentry/metrics.go
+++ b/lib/bfentry/metrics.go
@@ -23,6 +23,18 @@
 	m.latency.Observe(c.route.Name()+" "+outcome, now.Sub(c.arrived))
 }
 
+// repeated counts a repeat that was asked for by what became of it.
+func (m metrics) repeated(granted bool) {
+	name := "repeats_denied"
+	if granted {
+		name = "repeats_granted"
+	}
+	m.registry.Counter(name).Add(1)
+}
+
+// unborne counts a repeat that was granted here and refused where its calls are paid.
+func (m metrics) unborne() { m.registry.Counter("repeats_unborne").Add(1) }
+
 // asked counts a question to a target by its place and whether it was refused.
 func (m metrics) asked(far, refused bool) {
 	name := "taken_near"
--- a/lib/bflog/events.go
+++ b/lib/bflog/events.go
@@ -61,19 +61,20 @@
 
 // Events of the store that the platform keeps.
 var (
-	StoreLost     = declare(2101, slog.LevelWarn, "store does not answer this node", "Requests go on by what is held; other nodes are asked for news.")
-	StoreRegained = declare(2102, slog.LevelInfo, "store answers this node again", "Nothing.")
-	StoreListed   = declare(2103, slog.LevelInfo, "table read whole", "Nothing; it follows a start or history that the store dropped.")
-	RowRefused    = declare(3106, slog.LevelWarn, "row of another writer passed over", "Find who else writes to the members' table.")
-	ReportRefused = declare(3107, slog.LevelWarn, "report refused, it is no target's", "Find who else calls the node's port for its target.")
-	NodeFound     = declare(3104, slog.LevelInfo, "node takes connections again", "Nothing.")
-	RowForgotten  = declare(3105, slog.LevelWarn, "row of a lost node removed", "Nothing; if the node lives it writes its row again.")
-	FleetChanged  = declare(3101, slog.LevelInfo, "members changed", "Nothing.")
-	RequestLate   = declare(4105, slog.LevelInfo, "answer came after its objective", "last_sending less slot_wait and at_target is the way between the nodes.")
-	TargetAside   = declare(4106, slog.LevelInfo, "target passed over for a while", "The reason is its node's; it is tried again by itself.")
-	TargetChanged = declare(4104, slog.LevelInfo, "belief about the target changed", "Nothing.")
-	Announced     = declare(3102, slog.LevelInfo, "this node's row written or removed", "Nothing.")
-	AnnounceError = declare(3103, slog.LevelWarn, "this node's row could not be written", "It is tried again; others may not know this node until then.")
+	StoreLost       = declare(2101, slog.LevelWarn, "store does not answer this node", "Requests go on by what is held; other nodes are asked for news.")
+	StoreRegained   = declare(2102, slog.LevelInfo, "store answers this node again", "Nothing.")
+	StoreListed     = declare(2103, slog.LevelInfo, "table read whole", "Nothing; it follows a start or history that the store dropped.")
+	RowRefused      = declare(3106, slog.LevelWarn, "row of another writer passed over", "Find who else writes to the members' table.")
+	StandingChanged = declare(3108, slog.LevelInfo, "what this node reads and tells has changed", "Nothing; a follower that reads means that nobody told it anything.")
+	ReportRefused   = declare(3107, slog.LevelWarn, "report refused, it is no target's", "Find who else calls the node's port for its target.")
+	NodeFound       = declare(3104, slog.LevelInfo, "node takes connections again", "Nothing.")
+	RowForgotten    = declare(3105, slog.LevelWarn, "row of a lost node removed", "Nothing; if the node lives it writes its row again.")
+	FleetChanged    = declare(3101, slog.LevelInfo, "members changed", "Nothing.")
+	RequestLate     = declare(4105, slog.LevelInfo, "answer came after its objective", "last_sending less slot_wait and at_target is the way between the nodes.")
+	TargetAside     = declare(4106, slog.LevelInfo, "target passed over for a while", "The reason is its node's; it is tried again by itself.")
+	TargetChanged   = declare(4104, slog.LevelInfo, "belief about the target changed", "Nothing.")
+	Announced       = declare(3102, slog.LevelInfo, "this node's row written or removed", "Nothing.")
+	AnnounceError   = declare(3103, slog.LevelWarn, "this node's row could not be written", "It is tried again; others may not know this node until then.")
 )
 
 // Events of the impossible: each is a fault of the program, reported with what it saw.
--- a/lib/bfnews/news.go
+++ b/lib/bfnews/news.go
@@ -9,6 +9,7 @@
 
 	"bilberryflow.org/lib/bfcodec"
 	"bilberryflow.org/lib/bffleet"
+	"bilberryflow.org/lib/bflog"
 	"bilberryflow.org/lib/bfpeer"
 	"bilberryflow.org/lib/bftimer"
 	"bilberryflow.org/lib/bftraffic"
@@ -77,13 +78,14 @@
 
 // Exchange asks other nodes for news and answers them.
 type Exchange struct {
-	self  string
-	place bffleet.Place
-	state State
-	fleet *bffleet.Fleet
-	calls *bfpeer.Calls
-	timer *bftimer.Service
-	spawn func(name string, fn func(ctx context.Context) error)
+	self   string
+	place  bffleet.Place
+	state  State
+	fleet  *bffleet.Fleet
+	calls  *bfpeer.Calls
+	timer  *bftimer.Service
+	logger *bflog.Logger
+	spawn  func(name string, fn func(ctx context.Context) error)
 	// began is when the node started.
 	began time.Time
 	// first says that the whole fleet starts for the first time, meeting when this node
@@ -91,6 +93,8 @@
 	first   bool
 	meeting time.Duration
 	heard   hearing
+	// stood is what was last reported; only the telling uses it.
+	stood   stood
 	planned atomic.Pointer[plan]
 	// encoded is the newest configuration that was sent whole.
 	encoded atomic.Pointer[encodedSpec]
@@ -109,11 +113,12 @@
 	Self  string
 	Place bffleet.Place
 	// First says that the whole fleet starts for the first time.
-	First bool
-	State State
-	Fleet *bffleet.Fleet
-	Calls *bfpeer.Calls
-	Timer *bftimer.Service
+	First  bool
+	State  State
+	Fleet  *bffleet.Fleet
+	Calls  *bfpeer.Calls
+	Timer  *bftimer.Service
+	Logger *bflog.Logger
 	// Spawn starts a goroutine of the node's group.
 	Spawn func(name string, fn func(ctx context.Context) error)
 }
@@ -122,7 +127,7 @@
 func New(parts Parts) *Exchange {
 	return &Exchange{
 		self: parts.Self, place: parts.Place, first: parts.First, state: parts.State, fleet: parts.Fleet,
-		calls: parts.Calls, timer: parts.Timer, spawn: parts.Spawn,
+		calls: parts.Calls, timer: parts.Timer, logger: parts.Logger, spawn: parts.Spawn,
 		meeting: firstMeeting + time.Duration(rand.Float64()*float64(meetingSpread)),
 		changed: make(chan struct{}, 1), began: time.Now(),
 	}
--- a/lib/bfnews/news_test.go
+++ b/lib/bfnews/news_test.go
@@ -15,6 +15,7 @@
 
 	"bilberryflow.org/lib/bffleet"
 	"bilberryflow.org/lib/bfgroup"
+	"bilberryflow.org/lib/bflog"
 	"bilberryflow.org/lib/bfmetric"
 	"bilberryflow.org/lib/bfpeer"
 	"bilberryflow.org/lib/bftimer"
@@ -154,7 +155,7 @@
 	calls := bfpeer.NewCalls(methods, bfpeer.NewTraffic(bfmetric.New()), group)
 	address := listener.Addr().String()
 	exchange := New(Parts{
-		Self: address, Place: bffleet.Place{Inbound: address, Domain: "nord"}, State: state, Fleet: state.fleet, Calls: calls, Timer: timer, Spawn: group.Go,
+		Self: address, Place: bffleet.Place{Inbound: address, Domain: "nord"}, State: state, Fleet: state.fleet, Calls: calls, Timer: timer, Logger: bflog.Discard(), Spawn: group.Go,
 	})
 	for name, method := range exchange.Methods() {
 		methods[name] = method
--- a/lib/bfnews/plan.go
+++ b/lib/bfnews/plan.go
@@ -31,6 +31,19 @@
 	source
 )
 
+// String is the name in logs.
+func (s standing) String() string {
+	switch s {
+	case source:
+		return "source"
+	case relay:
+		return "relay"
+	case follower:
+		return "follower"
+	}
+	return "unknown"
+}
+
 // plan says who reads the store and who tells whom. All nodes that know the same
 // members make the same plan without asking each other.
 type plan struct {
--- a/lib/bfnews/tell.go
+++ b/lib/bfnews/tell.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 
 	"bilberryflow.org/lib/bfcodec"
 	"bilberryflow.org/lib/bffleet"
+	"bilberryflow.org/lib/bflog"
 	"bilberryflow.org/lib/bftraffic"
 )
 
@@ -53,6 +55,7 @@
 		cancel()
 		p := e.plan()
 		reads := e.Reads()
+		e.report(p, reads)
 		if p.size == 0 || !reads && p.standing(e.place.Inbound) == follower {
 			continue
 		}
@@ -65,6 +68,23 @@
 	return nil
 }
 
+// report tells the log when the node's standing changes, or whether it reads the store.
+func (e *Exchange) report(p *plan, reads bool) {
+	now := stood{standing: p.standing(e.place.Inbound), reads: reads, met: p.size > 0}
+	if now == e.stood || !now.met {
+		return
+	}
+	e.stood = now
+	e.logger.Emit(bflog.StandingChanged, slog.String("standing", now.standing.String()), slog.Bool("reads_store", reads),
+		slog.Int("members", p.size), slog.Bool("hears_fresh", e.HearsFresh()))
+}
+
+// stood is what was last reported.
+type stood struct {
+	standing   standing
+	reads, met bool
+}
+
 // tale makes what is told; reader says that the node's own calls follow the store.
 //
 // The revision is read before the version: taken the other way round, a change in between
