--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -164,7 +164,7 @@
 		Table: membersTable, Key: n.common.Inbound, Rows: store, Together: n.writeTogether,
 		Timer: n.timer, Logger: n.logger, Metrics: n.metrics,
 	})
-	n.batcher = bfbatch.New(bfbatch.Parts{Table: membersTable, Rows: store, Timer: n.timer, Spawn: n.group.Go})
+	n.batcher = bfbatch.New(bfbatch.Parts{Table: membersTable, Rows: store, Timer: n.timer, Logger: n.logger, Spawn: n.group.Go})
 	n.state = &state{
 		logger: n.logger, traffic: n.traffic, fleet: n.fleet, presence: n.presence, self: n.common.Inbound,
 		follows: n.follows, current: n.current, changed: n.stateChanged, recall: n.recall,
--- a/lib/bfbatch/batch.go
+++ b/lib/bfbatch/batch.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"errors"
+	"log/slog"
 	"slices"
 	"sync"
 	"time"
 
+	"bilberryflow.org/lib/bflog"
 	"bilberryflow.org/lib/bfstore"
 	"bilberryflow.org/lib/bftimer"
 )
@@ -23,9 +25,10 @@
 
 // Parts is what a Batcher works with.
 type Parts struct {
-	Table string
-	Rows  bfstore.Rows
-	Timer *bftimer.Service
+	Table  string
+	Rows   bfstore.Rows
+	Timer  *bftimer.Service
+	Logger *bflog.Logger
 	// Spawn starts a goroutine of the node's group.
 	Spawn func(name string, fn func(ctx context.Context) error)
 }
@@ -152,6 +155,9 @@
 		writes = append(writes, s.write)
 	}
 	revision, err := b.parts.Rows.Write(ctx, b.parts.Table, writes...)
+	if err != nil {
+		b.parts.Logger.Emit(bflog.BatchNotMade, slog.Int("rows", len(batch)), bflog.Err(err))
+	}
 	var conflict *bfstore.ConflictError
 	if len(batch) > 1 && errors.As(err, &conflict) {
 		err = &NotMadeError{Reason: err}
--- a/lib/bfbatch/batch_test.go
+++ b/lib/bfbatch/batch_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"bilberryflow.org/lib/bfgroup"
+	"bilberryflow.org/lib/bflog"
 	"bilberryflow.org/lib/bfmetric"
 	"bilberryflow.org/lib/bfpeer"
 	"bilberryflow.org/lib/bfstore"
@@ -40,7 +41,7 @@
 		timer := bftimer.New(1)
 		group := bfgroup.New(context.Background())
 		group.Go("timer", timer.Run)
-		b := New(Parts{Table: "members", Rows: rows, Timer: timer, Spawn: group.Go})
+		b := New(Parts{Table: "members", Rows: rows, Timer: timer, Logger: bflog.Discard(), Spawn: group.Go})
 		fn(is.New(t), rows, b, group)
 		group.Cancel()
 		if err := group.Wait(); err != nil {
@@ -179,7 +180,7 @@
 	timer := bftimer.New(1)
 	group.Go("timer", timer.Run)
 	rows := bfstore.NewMemoryRows()
-	b := New(Parts{Table: "members", Rows: rows, Timer: timer, Spawn: group.Go})
+	b := New(Parts{Table: "members", Rows: rows, Timer: timer, Logger: bflog.Discard(), Spawn: group.Go})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	calls := bfpeer.NewCalls(b.Methods(), bfpeer.NewTraffic(bfmetric.New()), group)
--- a/lib/bflog/events.go
+++ b/lib/bflog/events.go
@@ -66,6 +66,8 @@
 	StoreListed     = declare(2103, slog.LevelInfo, "table read whole", "Nothing; it follows a start or history that the store dropped.")
 	RowRefused      = declare(3106, slog.LevelWarn, "row of another writer passed over", "Find who else writes to the members' table.")
 	StandingChanged = declare(3108, slog.LevelInfo, "what this node reads and tells has changed", "Nothing; a follower that reads means that nobody told it anything.")
+	RowAlone        = declare(3109, slog.LevelInfo, "this node's row is written alone", "Nothing; the node that gathers rows was not reached or did not write them.")
+	BatchNotMade    = declare(3110, slog.LevelWarn, "rows of several nodes were not written together", "Nothing where the store does not answer; each node writes its own row.")
 	ReportRefused   = declare(3107, slog.LevelWarn, "report refused, it is no target's", "Find who else calls the node's port for its target.")
 	NodeFound       = declare(3104, slog.LevelInfo, "node takes connections again", "Nothing.")
 	RowForgotten    = declare(3105, slog.LevelWarn, "row of a lost node removed", "Nothing; if the node lives it writes its row again.")
--- a/lib/bfpresence/presence.go
+++ b/lib/bfpresence/presence.go
@@ -171,6 +171,7 @@
 		if err == nil || errors.As(err, &conflict) {
 			return revision, err
 		}
+		p.parts.Logger.Emit(bflog.RowAlone, bflog.Err(err))
 	}
 	p.writes.Add(1)
 	return p.parts.Rows.Write(ctx, p.parts.Table, write)
