An emulator of a whole fleet: several services, nested calls, faults, the budget counted

Cause: what the deployment of 195 instances needs tried could not be replayed: bfreplay knows one service whose requests call nobody, no repeats and no faults.

Three loads: a service that sheds, crashes, and a scarce service whose slots nested calls take.

--- a/bftrial/internal/bfcommand/command.go
+++ b/bftrial/internal/bfcommand/command.go
@@ -46,6 +46,9 @@
 	targets   int
 	perSecond float64
 	burst     float64
+	load      string
+	sweep     string
+	csv       string
 }
 
 // Main runs one subcommand and returns the exit code.
@@ -54,7 +57,7 @@
 		binaries: "bin", directory: "docs/figures", nodes: "10,30,100,200", profiles: "convergence,bytes",
 		idle: 20 * time.Second, changes: 20, objects: 100,
 		shape: "vienna", fault: "none", seconds: 10, seed: 1, runs: 1, fleet: 4, service: 200 * time.Millisecond,
-		domains: 4, targets: 1, perSecond: 150,
+		domains: 4, targets: 1, perSecond: 150, load: "bftrial/loads/shedding.json",
 	}
 	parser := flaggy.NewParser("bftrial")
 	parser.Description = "Runs the demo and the measurements with real processes on loopback."
@@ -92,6 +95,13 @@
 	replay.Float64(&a.burst, "x", "burst", "How many times as many come in the middle third, 0 for no burst.")
 	replay.Int(&a.seconds, "t", "seconds", "How long callers come.")
 	replay.Duration(&a.service, "w", "service-time", "Mean time of a request at a target.")
+	emulate := flaggy.NewSubcommand("emulate")
+	emulate.Description = "Plays a load file on a whole fleet in simulated time: nested calls, faults, the budget of repeats."
+	emulate.String(&a.load, "l", "load", "Load file; see bftrial/loads.")
+	emulate.String(&a.sweep, "s", "sweep", "Field and values to play it with, as services.0.slots=8,10,12.")
+	emulate.Int(&a.runs, "r", "runs", "How many seeds, one after another.")
+	emulate.String(&a.csv, "c", "csv", "File for the table, instead of the output.")
+	parser.AttachSubcommand(emulate, 1)
 	parser.AttachSubcommand(demo, 1)
 	parser.AttachSubcommand(replay, 1)
 	parser.AttachSubcommand(soak, 1)
@@ -105,6 +115,8 @@
 	switch {
 	case demo.Used:
 		err = bfdemo.Run(a.binaries, out)
+	case emulate.Used:
+		err = a.emulate(out, errOut)
 	case replay.Used:
 		err = a.replay(out)
 	case soak.Used:
--- /dev/null
+++ b/bftrial/internal/bfcommand/emulate_test.go
@@ -0,0 +1,53 @@
+package bfcommand
+
+import (
+	"bytes"
+	"encoding/csv"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const loads = "../../loads"
+
+// A sweep plays the load for each value and each seed, and its rows say of which they are.
+func TestSweepOfALoad(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "table.csv")
+	var out, progress bytes.Buffer
+	code := Main([]string{"emulate", "--load", filepath.Join(loads, "crash.json"), "--sweep", "faults.1.share=0.1,0.4", "--runs", "2", "--csv", path}, &out, &progress)
+	is.Equal(code, exitDone) // progress
+	is.Equal(strings.Count(progress.String(), "playing"), 4)
+	file, err := os.Open(path)
+	is.NoErr(err)
+	defer file.Close()
+	rows, err := csv.NewReader(file).ReadAll()
+	is.NoErr(err)
+	is.Equal(len(rows), 1+4*2) // two classes have callers
+	is.Equal(rows[1][:4], []string{"faults.1.share", "0.1", "1", "look-up"})
+	is.Equal(rows[8][:4], []string{"faults.1.share", "0.4", "2", "approval"})
+}
+
+// What is wrong with a sweep or a load is told in one line, and nothing is played.
+func TestWrongSweeps(t *testing.T) {
+	is := is.New(t)
+	for sweep, reason := range map[string]string{
+		"services.0.slots":       "a field and its values are needed",
+		"services.9.slots=1":     `no "9" there`,
+		"services.0.slots=ten":   "/services/0/slots",
+		"services.0.slot=10":     "additional properties 'slot'",
+		"length.x=1":             `no "x" there`,
+		"classes.0.service=none": `"none" is none of the services`,
+	} {
+		var out, errOut bytes.Buffer
+		code := Main([]string{"emulate", "--load", filepath.Join(loads, "crash.json"), "--sweep", sweep}, &out, &errOut)
+		is.Equal(code, exitFailed)
+		is.True(strings.Contains(errOut.String(), reason)) // sweep
+		is.Equal(out.String(), "")
+	}
+	var out, errOut bytes.Buffer
+	is.Equal(Main([]string{"emulate", "--load", "nowhere.json"}, &out, &errOut), exitFailed)
+}
--- /dev/null
+++ b/lib/bfemulator/request.go
@@ -0,0 +1,352 @@
+package bfemulator
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"bilberryflow.org/lib/bfbudget"
+	"bilberryflow.org/lib/bffleet"
+	"bilberryflow.org/lib/bfslot"
+	"bilberryflow.org/lib/bfwalk"
+)
+
+const (
+	// maxSent is how many targets a request is sent to at most.
+	maxSent = 3
+	// nestedPatience is the part of its objective for which a nested call waits for a slot,
+	// as at a node's entry.
+	nestedPatience = 0.5
+	// siblingPause is how long a shed call waits to hear of those made with it, as there.
+	siblingPause = 10 * time.Millisecond
+)
+
+// request is one request on its way, from an attempt of its caller or a call of a run.
+type request struct {
+	class   int
+	entry   *node
+	running time.Duration
+	// began is when the caller's first attempt came, attempt when this one did.
+	began, attempt, deadline time.Time
+	retries                  int
+	// parent is the run that makes the request as a call, nil for a caller's.
+	parent *run
+	tried  []*bffleet.Target
+	sent   int
+	// granted says that a repeat was granted that reached no target yet, shed that a
+	// target shed this call.
+	granted, full, shed, failed bool
+}
+
+// run is a request at a target.
+type run struct {
+	*bfbudget.Run
+	number  uint64
+	request *request
+	at      *bffleet.Target
+	node    *node
+	way     time.Duration
+	began   time.Time
+	// calls is how many calls have not ended; the run ends with the last of them and its
+	// own work. ended says that it has.
+	calls       int
+	done, ended bool
+}
+
+// ask has a request go to the next target.
+func (w *world) ask(r *request) {
+	c, e := w.load.Classes[r.class], r.entry
+	left := c.Objective.Std() - w.now.Sub(r.began)
+	demand := bffleet.Demand{
+		Service: c.Service, Bytes: 1500, Usual: e.usual[r.class], Running: c.Running.Std(), Objective: c.Objective.Std(), Left: left,
+		Near: r.full && r.parent == nil && !bfwalk.GoesFar(e.far.Of(c.Service), w.random.Float64()),
+	}
+	choice := e.fleet.Pick(demand, w.now, r.tried)
+	chosen := choice.Target()
+	walked := w.now.Sub(r.attempt) > bfwalk.Longest(c.Objective.Std(), e.near.Of(c.Service))
+	if chosen == nil || r.full && r.parent == nil && walked || !w.now.Before(r.deadline) {
+		w.refuse(r)
+		return
+	}
+	r.tried = append(r.tried, chosen)
+	way := nearWay
+	w.report.Asks++
+	if e.fleet.IsFar(chosen) {
+		way = farWay
+		w.report.FarAsks++
+	}
+	slot := bfslot.Request{Class: c.Name, Nested: r.parent != nil, Rank: c.Rank, Late: r.parent == nil && left < e.usual[r.class]}
+	switch {
+	case r.parent != nil:
+		slot.Patience = time.Duration(nestedPatience * float64(c.Objective))
+	case bfwalk.Waits(choice.Others(), e.near.Of(c.Service)):
+		slot.Patience = bfwalk.Patience(left, e.usual[r.class])
+	}
+	chosen.Begin()
+	w.after(way, func() { w.enter(r, chosen, slot, way) })
+}
+
+// enter has a request ask for a slot.
+func (w *world) enter(r *request, at *bffleet.Target, slot bfslot.Request, way time.Duration) {
+	n := w.byName[at.Member().Inbound]
+	if w.down(n) {
+		w.after(way+unreachedAfter, func() { w.unreached(r, at) })
+		return
+	}
+	ticket, err := n.queue.Enter(slot)
+	var full *bfslot.FullError
+	switch {
+	case errors.As(err, &full):
+		w.after(way, func() { w.turnedAway(r, at) })
+	case ticket == nil:
+		w.hand(r, at, n, way)
+	default:
+		n.granted[ticket] = func() { w.hand(r, at, n, way) }
+		w.after(slot.Patience, func() {
+			if n.queue.Leave(ticket) {
+				w.after(way, func() { w.turnedAway(r, at) })
+			}
+		})
+	}
+}
+
+// origin is why a request runs, as the budgets count it.
+func (r *request) origin() bfbudget.Origin {
+	switch {
+	case r.sent > 0:
+		return bfbudget.Again{}
+	case r.parent != nil && r.parent.IsRepeat():
+		return bfbudget.Inherited{}
+	}
+	return bfbudget.First{}
+}
+
+// hand gives the request to the target of a node.
+func (w *world) hand(r *request, at *bffleet.Target, n *node, way time.Duration) {
+	c := w.load.Classes[r.class]
+	opened, borne := n.account.Begin(c.Name, r.origin())
+	if !borne {
+		w.release(n, c.Name, 0)
+		w.after(way, func() { w.end(r, at, false) })
+		return
+	}
+	if _, first := r.origin().(bfbudget.First); !first {
+		w.report.count(w.report.repeats, n.service, w.passed())
+	}
+	w.report.Arrivals++
+	if w.random.Float64() < w.fault(shed, n) {
+		opened.End()
+		w.release(n, c.Name, 0)
+		w.after(way, func() { w.wasShed(r, at) })
+		return
+	}
+	slowness := 1.0
+	if x := w.fault(slow, n); x > 0 {
+		slowness = x
+	}
+	w.work(&run{Run: opened, request: r, at: at, node: n, way: way}, slowness)
+}
+
+// work has the target run a request, and make its calls.
+func (w *world) work(u *run, slowness float64) {
+	n, c := u.node, w.load.Classes[u.request.class]
+	u.number, u.began = w.order, w.now
+	n.running[u.number] = u
+	length := time.Duration(float64(u.request.running) * n.speed * slowness)
+	for _, call := range c.Calls {
+		if w.random.Float64() >= call.Share {
+			continue
+		}
+		for range call.Times {
+			u.calls++
+			w.call(u, w.load.class(call.Class))
+		}
+	}
+	w.after(length, func() {
+		u.done = true
+		w.settle(u)
+	})
+}
+
+// call has a run make a call.
+func (w *world) call(u *run, class int) {
+	c := w.load.Classes[class]
+	u.Call(c.Service)
+	r := w.newRequest(class, u.node)
+	r.parent, r.retries = u, 0
+	r.deadline = minTime(r.deadline, u.request.deadline)
+	w.ask(r)
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// settle ends a run whose work and calls are done, or one of whose calls failed.
+func (w *world) settle(u *run) {
+	failed := u.HasFailed()
+	if u.ended || !failed && (!u.done || u.calls > 0) {
+		return
+	}
+	u.ended = true
+	delete(u.node.running, u.number)
+	u.End()
+	w.release(u.node, w.load.Classes[u.request.class].Name, w.now.Sub(u.began))
+	w.after(u.way, func() { w.end(u.request, u.at, !failed) })
+}
+
+// release gives a slot back and starts who is next.
+func (w *world) release(n *node, class string, held time.Duration) {
+	for _, ticket := range n.queue.Release(class, held) {
+		start := n.granted[ticket]
+		delete(n.granted, ticket)
+		start()
+	}
+}
+
+// crash ends all that the targets run which a fault befalls.
+func (w *world) crash(fault int) {
+	for _, n := range w.nodes {
+		if w.load.service(w.load.Faults[fault].Service) != n.service || !w.befalls(w.load.Faults[fault], n) {
+			continue
+		}
+		for _, number := range slices.Sorted(maps.Keys(n.running)) {
+			u := n.running[number]
+			u.Fail()
+			w.settle(u)
+		}
+	}
+}
+
+// hear takes what an answer tells of its target.
+func (w *world) hear(r *request, at *bffleet.Target, took bool) {
+	n := w.byName[at.Member().Inbound]
+	used, slots := n.queue.Load()
+	at.Told(used, slots, w.now)
+	at.ToldTrack(0, n.speed, w.now)
+	at.End()
+	odds := &r.entry.near
+	if r.entry.fleet.IsFar(at) {
+		odds = &r.entry.far
+	}
+	odds.Note(w.load.Classes[r.class].Service, took)
+}
+
+func (w *world) turnedAway(r *request, at *bffleet.Target) {
+	r.full = true
+	w.hear(r, at, false)
+	w.ask(r)
+}
+
+func (w *world) unreached(r *request, at *bffleet.Target) {
+	at.End()
+	at.SetAside(w.now)
+	w.ask(r)
+}
+
+// wasShed is the target's word that it did not run the request.
+func (w *world) wasShed(r *request, at *bffleet.Target) {
+	w.hear(r, at, true)
+	r.sent++
+	r.granted = false
+	if r.parent == nil || r.shed {
+		w.again(r)
+		return
+	}
+	r.shed = true
+	if r.parent.Shed(w.load.Classes[r.class].Service) {
+		w.after(siblingPause, func() { w.again(r) })
+		return
+	}
+	w.again(r)
+}
+
+// again sends a request once more, if that may be.
+func (w *world) again(r *request) {
+	c := w.load.Classes[r.class]
+	may := r.sent < maxSent && w.now.Before(r.deadline)
+	switch {
+	case !may:
+	case r.parent != nil:
+		may = r.parent.Take(c.Service)
+	default:
+		may = r.entry.account.Take(c.Service)
+	}
+	if !may {
+		w.refuse(r)
+		return
+	}
+	r.granted = true
+	w.ask(r)
+}
+
+// end is that of a sending that ran, or was refused where its calls are paid.
+func (w *world) end(r *request, at *bffleet.Target, served bool) {
+	w.hear(r, at, true)
+	c := w.load.Classes[r.class]
+	if served {
+		r.granted = false
+		const learnShare = 10
+		r.entry.usual[r.class] += (w.now.Sub(r.attempt) - r.entry.usual[r.class]) / learnShare
+		w.served(r)
+		return
+	}
+	r.sent++
+	r.failed = true
+	if c.Once {
+		w.refuse(r)
+		return
+	}
+	r.granted = false
+	w.again(r)
+}
+
+func (w *world) served(r *request) {
+	if r.parent != nil {
+		w.returned(r, true)
+		return
+	}
+	w.report.served(r.class, w.now.Sub(r.began), w.load.Classes[r.class].Objective.Std())
+}
+
+// returned tells the run that made a call how that ended.
+func (w *world) returned(r *request, served bool) {
+	u := r.parent
+	u.Return(r.shed)
+	if !served {
+		u.Fail()
+	}
+	u.calls--
+	w.settle(u)
+}
+
+// refuse gives a request up: a caller is told when to come back, if it has time left and
+// the request did not run.
+func (w *world) refuse(r *request) {
+	c := w.load.Classes[r.class]
+	if r.granted {
+		r.entry.account.Return(c.Service)
+	}
+	if r.parent != nil {
+		w.returned(r, false)
+		return
+	}
+	refused := bfwalk.Refused{Objective: c.Objective.Std(), Used: r.attempt.Sub(r.began), Left: r.deadline.Sub(w.now)}
+	pause := refused.ComeBack(r.entry.near.Of(c.Service), w.random.Float64())
+	if r.failed {
+		pause = unreachedAfter
+	}
+	if r.retries == 0 || r.failed && c.Once || !w.now.Add(pause).Before(r.deadline) {
+		w.report.gaveUp(r.class, r.failed)
+		return
+	}
+	w.after(pause, func() {
+		again := w.newCaller(r.class, r.entry)
+		again.running, again.began, again.deadline, again.retries = r.running, r.began, r.deadline, r.retries-1
+		w.ask(again)
+	})
+}
