--- a/bftrial/internal/bfcommand/emulate_test.go
+++ b/bftrial/internal/bfcommand/emulate_test.go
@@ -21,10 +21,9 @@
 	code := Main([]string{"emulate", "--load", filepath.Join(loads, "crash.json"), "--sweep", "faults.1.share=0.1,0.4", "--runs", "2", "--csv", path}, &out, &progress)
 	is.Equal(code, exitDone) // progress
 	is.Equal(strings.Count(progress.String(), "playing"), 4)
-	file, err := os.Open(path)
+	data, err := os.ReadFile(path)
 	is.NoErr(err)
-	defer file.Close()
-	rows, err := csv.NewReader(file).ReadAll()
+	rows, err := csv.NewReader(bytes.NewReader(data)).ReadAll()
 	is.NoErr(err)
 	is.Equal(len(rows), 1+4*2) // two classes have callers
 	is.Equal(rows[1][:4], []string{"faults.1.share", "0.1", "1", "look-up"})
--- /dev/null
+++ b/lib/bfagenda/agenda_test.go
@@ -0,0 +1,28 @@
+package bfagenda
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Events happen by their times, those of one moment in the order in which they were put
+// down, and what one of them puts down takes its turn.
+func TestEventsHappenInOrder(t *testing.T) {
+	is := is.New(t)
+	begin := time.Unix(0, 0)
+	a := New(begin)
+	var got []string
+	note := func(what string) func() {
+		return func() { got = append(got, what+" at "+a.Now().Sub(begin).String()) }
+	}
+	a.After(2*time.Second, note("third"))
+	a.After(time.Second, note("first"))
+	a.After(time.Second, func() {
+		note("second")()
+		a.After(2*time.Second, note("last"))
+	})
+	a.Run()
+	is.Equal(got, []string{"first at 1s", "second at 1s", "third at 2s", "last at 3s"})
+}
--- a/lib/bfemulator/request.go
+++ b/lib/bfemulator/request.go
@@ -57,15 +57,15 @@
 // ask has a request go to the next target.
 func (w *world) ask(r *request) {
 	c, e := w.load.Classes[r.class], r.entry
-	left := c.Objective.Std() - w.now.Sub(r.began)
+	left := c.Objective.Std() - w.agenda.Now().Sub(r.began)
 	demand := bffleet.Demand{
 		Service: c.Service, Bytes: 1500, Usual: e.usual[r.class], Running: c.Running.Std(), Objective: c.Objective.Std(), Left: left,
 		Near: r.full && r.parent == nil && !bfwalk.GoesFar(e.far.Of(c.Service), w.random.Float64()),
 	}
-	choice := e.fleet.Pick(demand, w.now, r.tried)
+	choice := e.fleet.Pick(demand, w.agenda.Now(), r.tried)
 	chosen := choice.Target()
-	walked := w.now.Sub(r.attempt) > bfwalk.Longest(c.Objective.Std(), e.near.Of(c.Service))
-	if chosen == nil || r.full && r.parent == nil && walked || !w.now.Before(r.deadline) {
+	walked := w.agenda.Now().Sub(r.attempt) > bfwalk.Longest(c.Objective.Std(), e.near.Of(c.Service))
+	if chosen == nil || r.full && r.parent == nil && walked || !w.agenda.Now().Before(r.deadline) {
 		w.refuse(r)
 		return
 	}
@@ -84,28 +84,28 @@
 		slot.Patience = bfwalk.Patience(left, e.usual[r.class])
 	}
 	chosen.Begin()
-	w.after(way, func() { w.enter(r, chosen, slot, way) })
+	w.agenda.After(way, func() { w.enter(r, chosen, slot, way) })
 }
 
 // enter has a request ask for a slot.
 func (w *world) enter(r *request, at *bffleet.Target, slot bfslot.Request, way time.Duration) {
 	n := w.byName[at.Member().Inbound]
 	if w.down(n) {
-		w.after(way+unreachedAfter, func() { w.unreached(r, at) })
+		w.agenda.After(way+unreachedAfter, func() { w.unreached(r, at) })
 		return
 	}
 	ticket, err := n.queue.Enter(slot)
 	var full *bfslot.FullError
 	switch {
 	case errors.As(err, &full):
-		w.after(way, func() { w.turnedAway(r, at) })
+		w.agenda.After(way, func() { w.turnedAway(r, at) })
 	case ticket == nil:
 		w.hand(r, at, n, way)
 	default:
 		n.granted[ticket] = func() { w.hand(r, at, n, way) }
-		w.after(slot.Patience, func() {
+		w.agenda.After(slot.Patience, func() {
 			if n.queue.Leave(ticket) {
-				w.after(way, func() { w.turnedAway(r, at) })
+				w.agenda.After(way, func() { w.turnedAway(r, at) })
 			}
 		})
 	}
@@ -128,7 +128,7 @@
 	opened, borne := n.account.Begin(c.Name, r.origin())
 	if !borne {
 		w.release(n, c.Name, 0)
-		w.after(way, func() { w.end(r, at, false) })
+		w.agenda.After(way, func() { w.end(r, at, false) })
 		return
 	}
 	if _, first := r.origin().(bfbudget.First); !first {
@@ -138,7 +138,7 @@
 	if w.random.Float64() < w.fault(shed, n) {
 		opened.End()
 		w.release(n, c.Name, 0)
-		w.after(way, func() { w.wasShed(r, at) })
+		w.agenda.After(way, func() { w.wasShed(r, at) })
 		return
 	}
 	slowness := 1.0
@@ -151,7 +151,8 @@
 // work has the target run a request, and make its calls.
 func (w *world) work(u *run, slowness float64) {
 	n, c := u.node, w.load.Classes[u.request.class]
-	u.number, u.began = w.order, w.now
+	w.runs++
+	u.number, u.began = w.runs, w.agenda.Now()
 	n.running[u.number] = u
 	length := time.Duration(float64(u.request.running) * n.speed * slowness)
 	for _, call := range c.Calls {
@@ -163,7 +164,7 @@
 			w.call(u, w.load.class(call.Class))
 		}
 	}
-	w.after(length, func() {
+	w.agenda.After(length, func() {
 		u.done = true
 		w.settle(u)
 	})
@@ -195,8 +196,8 @@
 	u.ended = true
 	delete(u.node.running, u.number)
 	u.End()
-	w.release(u.node, w.load.Classes[u.request.class].Name, w.now.Sub(u.began))
-	w.after(u.way, func() { w.end(u.request, u.at, !failed) })
+	w.release(u.node, w.load.Classes[u.request.class].Name, w.agenda.Now().Sub(u.began))
+	w.agenda.After(u.way, func() { w.end(u.request, u.at, !failed) })
 }
 
 // release gives a slot back and starts who is next.
@@ -226,8 +227,8 @@
 func (w *world) hear(r *request, at *bffleet.Target, took bool) {
 	n := w.byName[at.Member().Inbound]
 	used, slots := n.queue.Load()
-	at.Told(used, slots, w.now)
-	at.ToldTrack(0, n.speed, w.now)
+	at.Told(used, slots, w.agenda.Now())
+	at.ToldTrack(0, n.speed, w.agenda.Now())
 	at.End()
 	odds := &r.entry.near
 	if r.entry.fleet.IsFar(at) {
@@ -244,7 +245,7 @@
 
 func (w *world) unreached(r *request, at *bffleet.Target) {
 	at.End()
-	at.SetAside(w.now)
+	at.SetAside(w.agenda.Now())
 	w.ask(r)
 }
 
@@ -259,7 +260,7 @@
 	}
 	r.shed = true
 	if r.parent.Shed(w.load.Classes[r.class].Service) {
-		w.after(siblingPause, func() { w.again(r) })
+		w.agenda.After(siblingPause, func() { w.again(r) })
 		return
 	}
 	w.again(r)
@@ -268,7 +269,7 @@
 // again sends a request once more, if that may be.
 func (w *world) again(r *request) {
 	c := w.load.Classes[r.class]
-	may := r.sent < maxSent && w.now.Before(r.deadline)
+	may := r.sent < maxSent && w.agenda.Now().Before(r.deadline)
 	switch {
 	case !may:
 	case r.parent != nil:
@@ -291,7 +292,7 @@
 	if served {
 		r.granted = false
 		const learnShare = 10
-		r.entry.usual[r.class] += (w.now.Sub(r.attempt) - r.entry.usual[r.class]) / learnShare
+		r.entry.usual[r.class] += (w.agenda.Now().Sub(r.attempt) - r.entry.usual[r.class]) / learnShare
 		w.served(r)
 		return
 	}
@@ -310,7 +311,7 @@
 		w.returned(r, true)
 		return
 	}
-	w.report.served(r.class, w.now.Sub(r.began), w.load.Classes[r.class].Objective.Std())
+	w.report.served(r.class, w.agenda.Now().Sub(r.began), w.load.Classes[r.class].Objective.Std())
 }
 
 // returned tells the run that made a call how that ended.
@@ -335,16 +336,16 @@
 		w.returned(r, false)
 		return
 	}
-	refused := bfwalk.Refused{Objective: c.Objective.Std(), Used: r.attempt.Sub(r.began), Left: r.deadline.Sub(w.now)}
+	refused := bfwalk.Refused{Objective: c.Objective.Std(), Used: r.attempt.Sub(r.began), Left: r.deadline.Sub(w.agenda.Now())}
 	pause := refused.ComeBack(r.entry.near.Of(c.Service), w.random.Float64())
 	if r.failed {
 		pause = unreachedAfter
 	}
-	if r.retries == 0 || r.failed && c.Once || !w.now.Add(pause).Before(r.deadline) {
+	if r.retries == 0 || r.failed && c.Once || !w.agenda.Now().Add(pause).Before(r.deadline) {
 		w.report.gaveUp(r.class, r.failed)
 		return
 	}
-	w.after(pause, func() {
+	w.agenda.After(pause, func() {
 		again := w.newCaller(r.class, r.entry)
 		again.running, again.began, again.deadline, again.retries = r.running, r.began, r.deadline, r.retries-1
 		w.ask(again)
--- a/lib/bfemulator/world.go
+++ b/lib/bfemulator/world.go
@@ -1,12 +1,12 @@
 package bfemulator
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
 
+	"bilberryflow.org/lib/bfagenda"
 	"bilberryflow.org/lib/bfbudget"
 	"bilberryflow.org/lib/bffleet"
 	"bilberryflow.org/lib/bfslot"
@@ -25,13 +25,13 @@
 type world struct {
 	load   Load
 	begin  time.Time
-	now    time.Time
-	order  uint64
-	events events
+	agenda *bfagenda.Agenda
 	nodes  []*node
 	// byName finds a node by the inbound address of its member.
 	byName map[string]*node
 	report *Report
+	// runs counts the runs that have begun.
+	runs uint64
 	// random is drawn from in the order of events, which is the same each time.
 	random *rand.Rand
 }
@@ -65,21 +65,17 @@
 	}
 	for i, f := range load.Faults {
 		if f.Kind == crash {
-			w.after(f.From.Std(), func() { w.crash(i) })
+			w.agenda.After(f.From.Std(), func() { w.crash(i) })
 		}
 	}
-	for w.events.Len() > 0 {
-		next := heap.Pop(&w.events).(*event)
-		w.now = next.at
-		next.do()
-	}
+	w.agenda.Run()
 	return w.report
 }
 
 func newWorld(load Load) *world {
 	begin := time.Unix(0, 0)
 	w := &world{
-		load: load, begin: begin, now: begin, byName: map[string]*node{}, report: newReport(load),
+		load: load, begin: begin, agenda: bfagenda.New(begin), byName: map[string]*node{}, report: newReport(load),
 		random: rand.New(rand.NewPCG(load.Seed, ^load.Seed)),
 	}
 	var members []bffleet.Member
@@ -110,14 +106,14 @@
 	}
 	n.account = bfbudget.New(bfbudget.Options{
 		Terms: w.load.Repeats.terms(), Nodes: func() int { return len(w.nodes) },
-		Now: func() time.Time { return w.now }, Chance: w.random.Float64,
+		Now: func() time.Time { return w.agenda.Now() }, Chance: w.random.Float64,
 	})
 	w.nodes = append(w.nodes, n)
 	return n
 }
 
 // passed is the time since the start.
-func (w *world) passed() time.Duration { return w.now.Sub(w.begin) }
+func (w *world) passed() time.Duration { return w.agenda.Now().Sub(w.begin) }
 
 // fault is the strongest x of the faults of a kind that a node's target has now, 0 for none.
 func (w *world) fault(kind string, n *node) (x float64) {
@@ -154,7 +150,7 @@
 func (w *world) arrive(class int) {
 	c := w.load.Classes[class]
 	rate := c.PerSecond * max(w.fault(burst, nil), 1)
-	w.after(time.Duration(w.random.ExpFloat64()/rate*float64(time.Second)), func() {
+	w.agenda.After(time.Duration(w.random.ExpFloat64()/rate*float64(time.Second)), func() {
 		if w.passed() > w.load.Length.Std() {
 			return
 		}
@@ -176,43 +172,9 @@
 	// The mean of a lognormal time is that of its logarithm and half its variance.
 	length := float64(c.Running) * math.Exp(c.Spread*w.random.NormFloat64()-c.Spread*c.Spread/2)
 	r := &request{
-		class: class, entry: entry, running: time.Duration(length), began: w.now, attempt: w.now,
-		deadline: w.now.Add(c.Deadline.Std()), retries: c.Retries,
+		class: class, entry: entry, running: time.Duration(length), began: w.agenda.Now(), attempt: w.agenda.Now(),
+		deadline: w.agenda.Now().Add(c.Deadline.Std()), retries: c.Retries,
 	}
 	w.report.count(w.report.requests, w.load.service(c.Service), w.passed())
 	return r
 }
-
-// event is something that happens at a time.
-type event struct {
-	at    time.Time
-	order uint64
-	do    func()
-}
-
-func (w *world) after(d time.Duration, do func()) {
-	w.order++
-	heap.Push(&w.events, &event{at: w.now.Add(d), order: w.order, do: do})
-}
-
-type events []*event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	if e[i].at.Equal(e[j].at) {
-		return e[i].order < e[j].order
-	}
-	return e[i].at.Before(e[j].at)
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push is for container/heap only.
-func (e *events) Push(x any) { *e = append(*e, x.(*event)) }
-
-// Pop is for container/heap only.
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
--- a/lib/bfreplay/replay.go
+++ b/lib/bfreplay/replay.go
@@ -1,7 +1,6 @@
 package bfreplay
 
 import (
-	"container/heap"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -9,6 +8,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"bilberryflow.org/lib/bfagenda"
 	"bilberryflow.org/lib/bffleet"
 	"bilberryflow.org/lib/bfslot"
 	"bilberryflow.org/lib/bfwalk"
@@ -39,15 +39,11 @@
 	w := newWorld(load, ways)
 	for _, a := range load.arrivals() {
 		w.report.Callers++
-		w.after(a.at, func() {
-			w.ask(&caller{arrival: a, began: w.now, deadline: w.now.Add(load.Deadline), retries: load.Retries, attempt: w.now})
+		w.agenda.After(a.at, func() {
+			w.ask(&caller{arrival: a, began: w.agenda.Now(), deadline: w.agenda.Now().Add(load.Deadline), retries: load.Retries, attempt: w.agenda.Now()})
 		})
 	}
-	for w.events.Len() > 0 {
-		next := heap.Pop(&w.events).(*event)
-		w.now = next.at
-		next.do()
-	}
+	w.agenda.Run()
 	return w.report
 }
 
@@ -55,9 +51,7 @@
 type world struct {
 	load    Load
 	ways    Ways
-	now     time.Time
-	order   uint64
-	events  events
+	agenda  *bfagenda.Agenda
 	entries []*entry
 	targets map[string]*target
 	report  Report
@@ -94,7 +88,7 @@
 }
 
 func newWorld(load Load, ways Ways) *world {
-	w := &world{load: load, ways: ways, now: time.Unix(0, 0), targets: map[string]*target{}, random: rand.New(rand.NewPCG(load.Seed, ^load.Seed))}
+	w := &world{load: load, ways: ways, agenda: bfagenda.New(time.Unix(0, 0)), targets: map[string]*target{}, random: rand.New(rand.NewPCG(load.Seed, ^load.Seed))}
 	w.report.Times = hdrhistogram.New(1, longestMicro, 2)
 	var members []bffleet.Member
 	for domain := range load.Domains {
@@ -121,12 +115,12 @@
 // ask has a caller's request go to the next target.
 func (w *world) ask(c *caller) {
 	e := w.entryOf(c)
-	left := w.load.Objective - w.now.Sub(c.began)
+	left := w.load.Objective - w.agenda.Now().Sub(c.began)
 	demand := bffleet.Demand{
 		Service: service, Bytes: 1500, Usual: e.usual, Running: w.load.Running, Objective: w.load.Objective, Left: left,
 		Near: c.full && w.ways.ByOdds && !bfwalk.GoesFar(e.far.Of(service), w.random.Float64()),
 	}
-	choice := e.fleet.Pick(demand, w.now, c.tried)
+	choice := e.fleet.Pick(demand, w.agenda.Now(), c.tried)
 	chosen := choice.Target()
 	if chosen == nil || c.full && w.isDone(e, c) {
 		w.refuse(e, c)
@@ -144,7 +138,7 @@
 		request.Patience = bfwalk.Patience(left, e.usual)
 	}
 	chosen.Begin()
-	w.after(way, func() { w.enter(c, chosen, request, way) })
+	w.agenda.After(way, func() { w.enter(c, chosen, request, way) })
 }
 
 // isDone reports whether a request that was refused asks nobody else.
@@ -153,7 +147,7 @@
 	if w.ways.ByOdds {
 		odds = e.odds.Of(service)
 	}
-	return w.now.Sub(c.attempt) > bfwalk.Longest(w.load.Objective, odds)
+	return w.agenda.Now().Sub(c.attempt) > bfwalk.Longest(w.load.Objective, odds)
 }
 
 // enter has a request ask for a slot.
@@ -163,14 +157,14 @@
 	var full *bfslot.FullError
 	switch {
 	case errors.As(err, &full):
-		w.after(way, func() { w.turnedAway(c, at) })
+		w.agenda.After(way, func() { w.turnedAway(c, at) })
 	case ticket == nil:
 		w.run(c, at, way)
 	default:
 		t.granted[ticket] = func() { w.run(c, at, way) }
-		w.after(request.Patience, func() {
+		w.agenda.After(request.Patience, func() {
 			if t.queue.Leave(ticket) {
-				w.after(way, func() { w.turnedAway(c, at) })
+				w.agenda.After(way, func() { w.turnedAway(c, at) })
 			}
 		})
 	}
@@ -180,12 +174,12 @@
 func (w *world) run(c *caller, at *bffleet.Target, way time.Duration) {
 	t := w.targets[at.Member().Inbound]
 	length := time.Duration(float64(c.running) * t.speed)
-	w.after(length, func() {
+	w.agenda.After(length, func() {
 		for _, ticket := range t.queue.Release(service, length) {
 			t.granted[ticket]()
 			delete(t.granted, ticket)
 		}
-		w.after(way, func() { w.answered(c, at) })
+		w.agenda.After(way, func() { w.answered(c, at) })
 	})
 }
 
@@ -193,8 +187,8 @@
 func (w *world) hear(e *entry, at *bffleet.Target, took bool) {
 	t := w.targets[at.Member().Inbound]
 	used, slots := t.queue.Load()
-	at.Told(used, slots, w.now)
-	at.ToldTrack(0, t.speed, w.now)
+	at.Told(used, slots, w.agenda.Now())
+	at.ToldTrack(0, t.speed, w.agenda.Now())
 	at.End()
 	odds := &e.odds
 	if e.fleet.IsFar(at) {
@@ -213,8 +207,8 @@
 	e := w.entryOf(c)
 	w.hear(e, at, true)
 	const learnShare = 10
-	e.usual += (w.now.Sub(c.attempt) - e.usual) / learnShare
-	took := w.now.Sub(c.began)
+	e.usual += (w.agenda.Now().Sub(c.attempt) - e.usual) / learnShare
+	took := w.agenda.Now().Sub(c.began)
 	// The time was clamped to the histogram's range, the one thing it refuses.
 	_ = w.report.Times.RecordValue(min(max(took.Microseconds(), 1), longestMicro))
 	if took <= w.load.Objective {
@@ -230,48 +224,14 @@
 	if w.ways.ByOdds {
 		odds = e.odds.Of(service)
 	}
-	refused := bfwalk.Refused{Objective: w.load.Objective, Used: c.attempt.Sub(c.began), Left: c.deadline.Sub(w.now)}
+	refused := bfwalk.Refused{Objective: w.load.Objective, Used: c.attempt.Sub(c.began), Left: c.deadline.Sub(w.agenda.Now())}
 	pause := refused.ComeBack(odds, w.random.Float64())
-	if c.retries == 0 || w.now.Add(pause).After(c.deadline) {
+	if c.retries == 0 || w.agenda.Now().Add(pause).After(c.deadline) {
 		w.report.Refused++
 		return
 	}
-	w.after(pause, func() {
-		again := &caller{arrival: c.arrival, began: c.began, deadline: c.deadline, retries: c.retries - 1, attempt: w.now}
+	w.agenda.After(pause, func() {
+		again := &caller{arrival: c.arrival, began: c.began, deadline: c.deadline, retries: c.retries - 1, attempt: w.agenda.Now()}
 		w.ask(again)
 	})
 }
-
-// event is something that happens at a time.
-type event struct {
-	at    time.Time
-	order uint64
-	do    func()
-}
-
-func (w *world) after(d time.Duration, do func()) {
-	w.order++
-	heap.Push(&w.events, &event{at: w.now.Add(d), order: w.order, do: do})
-}
-
-type events []*event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	if e[i].at.Equal(e[j].at) {
-		return e[i].order < e[j].order
-	}
-	return e[i].at.Before(e[j].at)
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push is for container/heap only.
-func (e *events) Push(x any) { *e = append(*e, x.(*event)) }
-
-// Pop is for container/heap only.
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
