--- a/lib/bfbudget/fleet_test.go
+++ b/lib/bfbudget/fleet_test.go
@@ -240,6 +240,27 @@
 	})
 }
 
+// A fleet of one, whose service sheds nine tenths of all it is sent. Lots drawn apart from
+// each other gave it 83 repeats in a window for 81 allowed: a node that may save a whole
+// repeat has to wait for one.
+func TestFleetOfOneWaitsForWholeRepeats(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(0x3d, 1, 300, Terms{Ratio: 0.2, Slack: 21, Window: window})
+	f.classes = []class{{name: "look-up", service: "portal"}, {}, {}, {name: "approval", service: "portal"}}
+	f.sheds["portal"] = 0.9
+	for at := range f.ticks {
+		f.now = time.Unix(0, 0).Add(time.Duration(at) * tick)
+		if at == 0 {
+			f.startAnew()
+		}
+		for range 3 {
+			f.request(f.unequalNode(3), f.random.IntN(2)*3)
+		}
+	}
+	is.True(f.excess("portal") <= 0)
+	is.True(f.totalRepeats("portal") > 100)
+}
+
 func repeated(kind, times int) (all []int) {
 	for range times {
 		all = append(all, kind)
