--- a/lib/bfbudget/fleet_test.go
+++ b/lib/bfbudget/fleet_test.go
@@ -137,7 +137,7 @@
 		reached, served := f.send(c, sent, run.IsRepeat())
 		switch {
 		case served:
-			run.Return(true)
+			run.EndCall(true)
 			return true
 		case !reached:
 			node.Return(c.service)
--- a/lib/bfbudget/run.go
+++ b/lib/bfbudget/run.go
@@ -90,7 +90,7 @@
 // would spend a repeat on a run that fails all the same.
 func (r *Run) HasFailed() bool { return r.failed.Load() }
 
-// Call counts a nested call of the run to a service; Return must follow.
+// Call counts a nested call of the run to a service; EndCall must follow.
 func (r *Run) Call(service string) {
 	if !r.repeat {
 		r.account.Sent(service)
@@ -145,8 +145,8 @@
 	return r.account.take(service, 1, floor)
 }
 
-// Return counts the end of a call; wasShed says that a target shed it on the way.
-func (r *Run) Return(wasShed bool) {
+// EndCall counts the end of a call; wasShed says that a target shed it on the way.
+func (r *Run) EndCall(wasShed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.open--
--- a/lib/bfbudget/run_test.go
+++ b/lib/bfbudget/run_test.go
@@ -169,7 +169,7 @@
 	is.True(one.Shed("vault"))
 	is.True(!two.Take("vault"))
 	is.True(one.Take("vault"))
-	one.Return(true)
+	one.EndCall(true)
 	two.Fail()
 	is.True(!two.Take("vault")) // it fails all the same
 	sent(a, "vault", 20)
--- a/lib/bfemulator/request.go
+++ b/lib/bfemulator/request.go
@@ -317,7 +317,7 @@
 // returned tells the run that made a call how that ended.
 func (w *world) returned(r *request, served bool) {
 	u := r.parent
-	u.Return(r.shed)
+	u.EndCall(r.shed)
 	if !served {
 		u.Fail()
 	}
--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -60,7 +60,7 @@
 		c.handler.parts.Account.Return(c.service)
 	}
 	if c.parent != nil {
-		c.parent.Return(c.shed)
+		c.parent.EndCall(c.shed)
 		if !served(end) {
 			c.parent.Fail()
 		}
