Ends of targets are told, with what they ran (4107)

The node beside a target now finds out, after a request that brought no answer, whether the target is there still (one connection on the same machine, one for all that were lost at that moment), and tells its end with the content of each request that ran: method, host, target, body and caller, hashed. Nothing is decided by it yet. An answer that was lost by a target that lives and a planned stop are no ends (tests).

ReadAnswer leaves the end of a lost answer to its caller, so that a request counts as running until it is known whether its target has ended.

--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -123,7 +123,8 @@
 	n.targets = bfexchange.New(bfexchange.Options{IDHeader: names.RequestID, DialTimeout: dialTimeout, IdleUnstated: targetIdle})
 	n.nodes = bfexchange.New(bfexchange.Options{DialTimeout: dialTimeout, IdleUnstated: nodeIdle, Wrap: n.wrap})
 	n.host = bfhost.New(bfhost.Parts{
-		Service: common.Service, Names: names, Client: n.targets, Timer: n.timer, Account: account, Changed: n.targetChanged,
+		Service: common.Service, Names: names, Client: n.targets, Timer: n.timer, Account: account,
+		Changed: n.targetChanged, Crashed: n.targetCrashed,
 	})
 	n.entry = bfentry.New(bfentry.Parts{
 		Service: common.Service, Inbound: common.Inbound, Names: names,
@@ -357,11 +358,6 @@
 	return servers, nil
 }
 
-// reportRefused tells of a report that no target sent.
-func (n *node) reportRefused(incarnation string, err error) {
-	n.logger.Emit(bflog.ReportRefused, slog.String("incarnation", incarnation), bflog.Err(err))
-}
-
 // limits bound what callers may send, by the configuration in force.
 func (n *node) limits() bfpipeline.Limits {
 	traffic := n.traffic.Current()
--- /dev/null
+++ b/lib/bfhost/crash_test.go
@@ -0,0 +1,90 @@
+package bfhost
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// crashes keeps what a host tells of its target's ends.
+type crashes struct {
+	mu  sync.Mutex
+	all []Crash
+}
+
+func (c *crashes) add(crash Crash) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.all = append(c.all, crash)
+}
+
+func (c *crashes) take() []Crash {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.all
+}
+
+// end ends the target's process as far as its node can see.
+func (r *rig) end() {
+	r.target.Listener.Close()
+	r.target.CloseClientConnections()
+}
+
+// Guards against ends of targets that leave no trace of what ran there.
+func TestCrashIsToldOnceWithAllThatRan(t *testing.T) {
+	begun := make(chan struct{}, 2)
+	r := newRig(t, func(http.ResponseWriter, *http.Request) {
+		begun <- struct{}{}
+		time.Sleep(time.Second)
+	})
+	var seen crashes
+	r.host.parts.Crashed = seen.add
+	r.beat("a", 1, Ready)
+	ends := make(chan string, 2)
+	for _, id := range []string{"1", "2"} {
+		j := job(id)
+		j.Request.Target = "/" + id
+		r.group.Go("run", func(context.Context) error { ends <- r.run(j); return nil })
+		<-begun
+	}
+	r.end()
+	r.Equal(<-ends, "lost")
+	r.Equal(<-ends, "lost")
+	r.Equal(len(seen.take()), 1)
+	crash := seen.take()[0]
+	r.Equal(crash.Target.Incarnation(), "a")
+	r.Equal(len(crash.Runs), 2)
+	r.Equal(crash.Runs[0].ID, "2") // the newest comes first
+	r.True(crash.Runs[0].Key.Content != crash.Runs[1].Key.Content)
+}
+
+// Guards against answers that were lost, and planned stops, being taken for crashes.
+func TestLostAnswerIsNoCrash(t *testing.T) {
+	r := newRig(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	var seen crashes
+	r.host.parts.Crashed = seen.add
+	r.beat("a", 1, Ready)
+	r.Equal(r.run(job("1")), "lost")
+	r.Equal(len(seen.take()), 0)
+}
+
+// Guards against requests being suspected that a target which leaves cuts off.
+func TestPlannedStopIsNoCrash(t *testing.T) {
+	begun := make(chan struct{}, 1)
+	r := newRig(t, func(http.ResponseWriter, *http.Request) {
+		begun <- struct{}{}
+		time.Sleep(time.Second)
+	})
+	var seen crashes
+	r.host.parts.Crashed = seen.add
+	r.beat("a", 1, Ready)
+	end := make(chan string, 1)
+	r.group.Go("run", func(context.Context) error { end <- r.run(job("1")); return nil })
+	<-begun
+	r.beat("a", 2, Draining)
+	r.end()
+	r.Equal(<-end, "lost")
+	r.Equal(len(seen.take()), 0)
+}
--- a/lib/bfhost/host.go
+++ b/lib/bfhost/host.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"bilberryflow.org/lib/bfbudget"
 	"bilberryflow.org/lib/bfexchange"
 	"bilberryflow.org/lib/bfheader"
@@ -27,6 +29,8 @@
 	Account *bfbudget.Account
 	// Changed is called after each change of what is believed of the target, nil where none is.
 	Changed func(*Target)
+	// Crashed is called after the target's end without a word, nil where nobody asks.
+	Crashed func(Crash)
 }
 
 // Host is the node's side towards its target.
@@ -42,8 +46,12 @@
 	// whose answers are on their way.
 	running atomic.Int64
 	failing failing
-	// runs holds a bfbudget.Run for the ID of each request that the target works on.
+	// runs holds a flight for the ID of each request that the target works on.
 	runs sync.Map
+	// probes has one of those who lost a request at a target find out for all whether it
+	// has ended; lastCrash, guarded by mu, is the target that did so last.
+	probes    singleflight.Group
+	lastCrash string
 }
 
 // New makes a host that has not heard of its target.
@@ -157,15 +165,15 @@
 		slot.Release()
 		return Refused{Reason: Unborne}
 	}
-	h.begin(job, run)
-	handed := h.parts.Timer.Now()
-	end := h.hand(ctx, job, target, func() {
-		h.end(job, run)
+	f := h.newFlight(job, run, target)
+	h.begin(f)
+	end := h.hand(ctx, job, f, func() {
+		h.end(f)
 		slot.Release()
 	})
 	h.failing.judge(end)
 	if answered, ok := end.(Answered); ok {
-		answered.Answer.Spent = Spent{Wait: handed.Sub(came), Run: h.parts.Timer.Now().Sub(handed)}
+		answered.Answer.Spent = Spent{Wait: f.began.Sub(came), Run: h.parts.Timer.Now().Sub(f.began)}
 	}
 	return end
 }
@@ -184,17 +192,17 @@
 	if !ok {
 		return nil
 	}
-	return found.(*bfbudget.Run)
+	return found.(*flight).run
 }
 
-func (h *Host) begin(job Job, run *bfbudget.Run) {
+func (h *Host) begin(f *flight) {
 	h.running.Add(1)
-	h.runs.Store(job.Request.ID, run)
+	h.runs.Store(f.id, f)
 }
 
-func (h *Host) end(job Job, run *bfbudget.Run) {
-	h.runs.Delete(job.Request.ID)
-	run.End()
+func (h *Host) end(f *flight) {
+	h.runs.Delete(f.id)
+	f.run.End()
 	h.running.Add(-1)
 }
 
@@ -203,7 +211,7 @@
 const answerMargin = 100 * time.Millisecond
 
 // hand sends the job to the target; done is called when the target works on it no more.
-func (h *Host) hand(ctx context.Context, job Job, target *Target, done func()) Result {
+func (h *Host) hand(ctx context.Context, job Job, f *flight, done func()) Result {
 	left := job.Deadline.Sub(h.parts.Timer.Now())
 	if left <= 0 {
 		done()
@@ -221,8 +229,8 @@
 	}
 	header := job.Request.Header
 	header[h.parts.Names.Deadline] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
-	header[h.parts.Names.ExpectTarget] = []string{target.Incarnation()}
-	answer, err := h.parts.Client.Send(ctx, target.Address(), job.Request)
+	header[h.parts.Names.ExpectTarget] = []string{f.target.Incarnation()}
+	answer, err := h.parts.Client.Send(ctx, f.target.Address(), job.Request)
 	var notSent *bfexchange.NotSentError
 	switch {
 	case errors.As(err, &notSent):
@@ -233,27 +241,28 @@
 		}
 		return Refused{Reason: Unreached, Err: err}
 	case err != nil:
-		finish()
-		return h.lost(err, job)
+		defer finish()
+		return h.lost(ctx, err, job, f)
 	}
-	return h.take(answer, target, finish, job)
+	return h.take(ctx, answer, f, finish, job)
 }
 
-func (h *Host) lost(err error, job Job) Result {
+func (h *Host) lost(ctx context.Context, err error, job Job, f *flight) Result {
 	if !h.parts.Timer.Now().Before(job.Deadline) {
 		return Expired{Sent: true}
 	}
+	h.noteLoss(ctx, f)
 	return Lost{Reason: err.Error()}
 }
 
 // take reads the answer, or the target's word that it did not run the request.
-func (h *Host) take(from *bfexchange.Answer, target *Target, finish func(), job Job) Result {
+func (h *Host) take(ctx context.Context, from *bfexchange.Answer, f *flight, finish func(), job Job) Result {
 	if from.Status() == http.StatusMisdirectedRequest {
 		// Another incarnation has the address; nothing runs until it is heard of.
 		from.Close()
 		finish()
 		now := h.parts.Timer.Now()
-		h.change(func(b *book) bool { return b.replaced(target.Incarnation(), now) })
+		h.change(func(b *book) bool { return b.replaced(f.target.Incarnation(), now) })
 		return Refused{Reason: NoTarget}
 	}
 	if from.Header().Get(h.parts.Names.NotRun) != "" {
@@ -264,7 +273,8 @@
 	}
 	answer, err := ReadAnswer(from, HoldAtTarget, finish)
 	if err != nil {
-		return h.lost(err, job)
+		defer finish()
+		return h.lost(ctx, err, job, f)
 	}
 	return Answered{answer}
 }
--- a/lib/bfhost/host_test.go
+++ b/lib/bfhost/host_test.go
@@ -34,6 +34,7 @@
 	target  *httptest.Server
 	runs    atomic.Int32
 	changes atomic.Int32
+	group   *bfgroup.Group
 }
 
 func newRig(t *testing.T, serve http.HandlerFunc) *rig {
@@ -47,6 +48,7 @@
 	}))
 	timer := bftimer.New(1)
 	group := bfgroup.New(context.Background())
+	r.group = group
 	group.Go("timer", timer.Run)
 	r.host = New(Parts{
 		Service: "portal", Names: names, Timer: timer, Account: r.account,
--- a/lib/bfhost/job.go
+++ b/lib/bfhost/job.go
@@ -150,13 +150,13 @@
 	HoldAtEntry = 16 << 10
 )
 
-// ReadAnswer reads the first hold bytes of an answer, or all of it.
+// ReadAnswer reads the first hold bytes of an answer, or all of it; done is called at the
+// end of an answer that it returns.
 func ReadAnswer(from *bfexchange.Answer, hold int, done func()) (*Answer, error) {
 	answer := &Answer{Status: from.Status(), Header: from.Header(), Length: from.Length()}
 	head, whole, err := readHead(from, hold)
 	if err != nil {
 		from.Close()
-		done()
 		return nil, err
 	}
 	answer.Head = head
--- a/lib/bflog/events.go
+++ b/lib/bflog/events.go
@@ -59,6 +59,11 @@
 	RequestExpired = declare(4103, slog.LevelInfo, "request's time is over", "Where it was sent, look at the target's running times.")
 )
 
+// Events of requests under which targets end.
+var (
+	TargetCrashed = declare(4107, slog.LevelWarn, "target ended while it ran requests", "Look for a request that ran at several ends: the same content stands in the lines of all of them.")
+)
+
 // Events of the store that the platform keeps.
 var (
 	StoreLost       = declare(2101, slog.LevelWarn, "store does not answer this node", "Requests go on by what is held; other nodes are asked for news.")
