Soak: requests that end each target that begins to run them; red

Reproduces the incident with real processes on loopback: six nodes, twelve callers, and one request that comes again at any node as a new attempt.

--- a/bftrial/internal/bfsoak/check.go
+++ b/bftrial/internal/bfsoak/check.go
@@ -64,6 +64,7 @@
 	if served*2 < len(w.record.all) {
 		w.violate("only %d of %d requests were served", served, len(w.record.all))
 	}
+	w.checkCrashing()
 	w.ledger.mu.Lock()
 	defer w.ledger.mu.Unlock()
 	for incarnation, left := range w.ledger.leaving {
--- a/bftrial/internal/bfsoak/faults.go
+++ b/bftrial/internal/bfsoak/faults.go
@@ -43,6 +43,7 @@
 	{"target replaced", (*world).replaceTarget},
 	{"change", (*world).changeConfiguration},
 	{"change", (*world).changeConfiguration},
+	{crashingRequest, (*world).sendCrashing},
 }
 
 // play injects faults while callers call; faults come in series and overlap.
@@ -68,6 +69,10 @@
 }
 
 func (w *world) inject() {
+	if w.options.Only != "" {
+		w.injectOnly()
+		return
+	}
 	began := time.Now()
 	over := make(chan struct{})
 	started := 0
@@ -89,6 +94,16 @@
 	}
 }
 
+func (w *world) injectOnly() {
+	for _, f := range faults {
+		if f.name == w.options.Only {
+			f.run(w, w.nodes[w.rand.IntN(len(w.nodes))], w.options.Faults)
+			return
+		}
+	}
+	w.violate("no fault is called %q", w.options.Only)
+}
+
 func (w *world) report(what string, err error) {
 	if err != nil {
 		w.violate("%s: %v", what, err)
@@ -231,7 +246,7 @@
 	defer n.targetMu.Unlock()
 	n.harmed(true, func() {
 		n.target.stop(w.group.Context(), length > time.Second)
-		next, err := startTarget(w.group, w.ledger, "vault", n.process.Settings().Listen.Target)
+		next, err := w.startTarget(n)
 		w.report("start of a target", err)
 		if err == nil {
 			n.target = next
--- a/bftrial/internal/bfsoak/proxy.go
+++ b/bftrial/internal/bfsoak/proxy.go
@@ -70,6 +70,13 @@
 	}
 }
 
+// close ends the proxy as the end of the process behind it would: what is open is reset,
+// and new connections are refused.
+func (p *proxy) close() {
+	p.listener.Close()
+	p.reset()
+}
+
 func (p *proxy) accept() {
 	for {
 		accepted, err := p.listener.Accept()
--- a/bftrial/internal/bfsoak/target.go
+++ b/bftrial/internal/bfsoak/target.go
@@ -31,10 +31,12 @@
 	last map[string]time.Time
 	// leaving is when the leaving of an incarnation was acknowledged.
 	leaving map[string]time.Time
+	// crashing holds the runs of each content under which targets end.
+	crashing map[string][]crashingRun
 }
 
 func newLedger() *ledger {
-	return &ledger{runs: map[string]int{}, last: map[string]time.Time{}, leaving: map[string]time.Time{}}
+	return &ledger{runs: map[string]int{}, last: map[string]time.Time{}, leaving: map[string]time.Time{}, crashing: map[string][]crashingRun{}}
 }
 
 func (l *ledger) ran(id, incarnation string) {
@@ -56,6 +58,9 @@
 	l.leaving[incarnation] = time.Now()
 }
 
+// service is what all targets of a run serve.
+const service = "vault"
+
 // targetSlots is how many requests a target works on at once.
 const targetSlots = 8
 
@@ -67,9 +72,13 @@
 	proxy   *proxy
 	reports bfdialect.TargetReports
 	service string
+	node    *nodeSlot
 	working atomic.Int32
 	state   atomic.Int32
 	seq     atomic.Int64
+	// crashed is called once when a request has ended the incarnation.
+	crashed func()
+	ending  sync.Once
 	// loseShare of the answers, in percent, are lost after the run; doubled are sent twice.
 	loseShare, doubleShare atomic.Int32
 }
@@ -77,7 +86,7 @@
 var starts atomic.Int64
 
 // startTarget starts an incarnation beside a node.
-func startTarget(group *bfgroup.Group, l *ledger, service, control string) (*incarnation, error) {
+func startTarget(group *bfgroup.Group, l *ledger, node *nodeSlot, crashed func(*incarnation)) (*incarnation, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -87,9 +96,10 @@
 		return nil, err
 	}
 	t := &incarnation{
-		id: fmt.Sprintf("i-%d", starts.Add(1)), ledger: l, proxy: p, service: service,
-		reports: bfdialect.TargetReports{Control: control, Client: &http.Client{Timeout: time.Second}},
+		id: fmt.Sprintf("i-%d", starts.Add(1)), ledger: l, proxy: p, service: service, node: node,
+		reports: bfdialect.TargetReports{Control: node.process.Settings().Listen.Target, Client: &http.Client{Timeout: time.Second}},
 	}
+	t.crashed = func() { crashed(t) }
 	t.state.Store(int32(bfhost.Ready))
 	t.server = &http.Server{Handler: t}
 	group.Go("target", func(context.Context) error {
@@ -134,6 +144,9 @@
 		return
 	}
 	t.ledger.ran(id, t.id)
+	if content := crashingContent(r.URL.Path); content != "" {
+		t.crash(content)
+	}
 	time.Sleep(time.Duration(rand.IntN(60)) * time.Millisecond)
 	body := answerOf(id)
 	draw := rand.Int32N(100)
