Requests under which targets end are held by the whole fleet

Cause: a request was remembered for one attempt only. Each entry, home and attempt took it for a new one: a lost answer was repeated at the next target, a 502 came back as the next attempt, and nothing carried from one to the next what had become of the last. The class: feedback without memory, a failure that the input causes taken for one of the target.

Fix: a request is known by what it asks for (bfquarantine). The node beside a target notes what ran when it ended; nodes tell each other at once (bfrumor), and find by a digest on messages that they exchange anyway what they missed. After two ends a request runs apart from other such ones, so that a third end speaks against one of them alone; after three no node runs it for five minutes, then one tries it, and each further end doubles that up to an hour. An answer clears it everywhere, so that a request which many make is not held for ends of other causes. It is refused at once as not run, with the time when it may be tried again.

--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"expvar"
 	"log/slog"
 	"maps"
@@ -26,11 +25,14 @@
 	"bilberryflow.org/lib/bfmetric"
 	"bilberryflow.org/lib/bfnews"
 	"bilberryflow.org/lib/bfoperator"
+	"bilberryflow.org/lib/bfpacer"
 	"bilberryflow.org/lib/bfpacker"
 	"bilberryflow.org/lib/bfpeer"
 	"bilberryflow.org/lib/bfpipeline"
 	"bilberryflow.org/lib/bfpresence"
 	"bilberryflow.org/lib/bfprogram"
+	"bilberryflow.org/lib/bfquarantine"
+	"bilberryflow.org/lib/bfrumor"
 	"bilberryflow.org/lib/bfserver"
 	"bilberryflow.org/lib/bfstore"
 	"bilberryflow.org/lib/bftimer"
@@ -52,7 +54,7 @@
 	traffic  *bftraffic.Holder
 	host     *bfhost.Host
 	entry    *bfentry.Handler
-	pacer    *bfhost.Pacer
+	pacer    *bfpacer.Pacer
 	store    *bfdialect.Store
 	presence *bfpresence.Presence
 	batcher  *bfbatch.Batcher
@@ -61,6 +63,8 @@
 	members  *bffollow.Follower
 	calls    *bfpeer.Calls
 	news     *bfnews.Exchange
+	book     *bfquarantine.Book
+	rumor    *bfrumor.Exchange
 	peers    net.Listener
 	callers  *bfpipeline.Server
 	ready    readiness
@@ -116,20 +120,21 @@
 		timer:   bftimer.New(uint64(time.Now().UnixNano())),
 		fleet:   bffleet.New(place(common, settings)),
 		traffic: bftraffic.NewHolder(nil),
+		book:    bfquarantine.New(common.Inbound),
 	}
-	n.pacer = bfhost.NewPacer(n.timer, settings.LinkMbps)
+	n.pacer = bfpacer.New(n.timer, settings.LinkMbps)
 	account := n.account()
 	names := bfdialect.Headers()
 	n.targets = bfexchange.New(bfexchange.Options{IDHeader: names.RequestID, DialTimeout: dialTimeout, IdleUnstated: targetIdle})
 	n.nodes = bfexchange.New(bfexchange.Options{DialTimeout: dialTimeout, IdleUnstated: nodeIdle, Wrap: n.wrap})
 	n.host = bfhost.New(bfhost.Parts{
 		Service: common.Service, Names: names, Client: n.targets, Timer: n.timer, Account: account,
-		Changed: n.targetChanged, Crashed: n.targetCrashed,
+		Changed: n.targetChanged, Quarantine: n.book, Crashed: n.targetCrashed,
 	})
 	n.entry = bfentry.New(bfentry.Parts{
 		Service: common.Service, Inbound: common.Inbound, Names: names,
 		Traffic: n.traffic, Fleet: n.fleet, Host: n.host, Client: n.nodes, Pacer: n.pacer,
-		Spawn: n.group.Go, Gone: n.forget, Account: account,
+		Spawn: n.group.Go, Gone: n.forget, Account: account, Quarantine: n.book,
 		Timer: n.timer, Logger: logger, Metrics: n.metrics,
 	})
 	n.store = bfdialect.NewStore(common.PlatformAddress)
@@ -204,11 +209,16 @@
 func (n *node) talkToNodes() {
 	methods := bfpeer.Methods{}
 	n.calls = bfpeer.NewCalls(methods, bfpeer.NewTraffic(n.metrics), n.group)
+	n.rumor = bfrumor.New(bfrumor.Parts{
+		Self: n.common.Peer, Book: n.book, Calls: n.calls, Timer: n.timer, Spawn: n.group.Go,
+		Audience: func(own bool) []string { return n.news.Audience(own) },
+	})
 	n.news = bfnews.New(bfnews.Parts{
 		Self: n.common.Peer, Place: place(n.common, n.settings), First: n.settings.FirstStart, State: n.state,
-		Fleet: n.fleet, Calls: n.calls, Timer: n.timer, Logger: n.logger, Spawn: n.group.Go,
+		Fleet: n.fleet, Calls: n.calls, Timer: n.timer, Logger: n.logger, Spawn: n.group.Go, Also: n.rumor,
 	})
 	maps.Copy(methods, n.news.Methods())
+	maps.Copy(methods, n.rumor.Methods())
 	maps.Copy(methods, n.batcher.Methods())
 }
 
@@ -228,37 +238,6 @@
 	return bfbatch.Remote{Calls: n.calls, Peer: peer}.Write(ctx, write)
 }
 
-// forget removes the row of a member that is out of reach, so that nobody goes on
-// looking for a machine that is gone. Whoever is first does it for all. A node whose
-// members do not follow the store is itself the one that may be cut off.
-func (n *node) forget(member bffleet.Member) {
-	if !n.current() || member.Revision == 0 {
-		return
-	}
-	n.group.Go("forget a member", func(ctx context.Context) error {
-		n.remove(ctx, member)
-		return nil
-	})
-}
-
-func (n *node) remove(ctx context.Context, member bffleet.Member) {
-	write := bfstore.RowWrite{Key: member.Inbound, Remove: true, Revision: member.Revision}
-	_, err := n.writeTogether(ctx, write)
-	var notMade *bfbatch.NotMadeError
-	if errors.As(err, &notMade) {
-		_, err = n.store.Write(ctx, membersTable, write)
-	}
-	var conflict *bfstore.ConflictError
-	switch {
-	case errors.As(err, &conflict):
-		// Another node was first, or the member has written its row again.
-	case err != nil:
-		n.logger.Emit(bflog.AnnounceError, slog.String("member", member.Inbound), bflog.Err(err))
-	default:
-		n.logger.Emit(bflog.RowForgotten, slog.String("member", member.Inbound))
-	}
-}
-
 // targetChanged has the table of members follow what the target does.
 func (n *node) targetChanged(target *bfhost.Target) {
 	if target == nil {
@@ -378,6 +357,7 @@
 	n.group.Go("follow members", n.members.Run)
 	n.group.Go("presence", n.presence.Run)
 	n.group.Go("news", n.news.Run)
+	n.group.Go("rumor", n.rumor.Run)
 	n.timer.Every(func() time.Duration { return sweepInterval }, n.sweep)
 	return n.group.Wait()
 }
--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -77,6 +77,9 @@
 	refusal := bfhost.Refused{Reason: bfhost.NoTarget, RetryAfter: startingPause}
 	for {
 		now := c.handler.parts.Timer.Now()
+		if held, is := c.held(now); is {
+			return c.refused(held)
+		}
 		choice := c.handler.parts.Fleet.Pick(c.demand(refusal), now, c.tried)
 		target := choice.Target()
 		done := target == nil || c.askedLong(now, refusal)
@@ -112,6 +115,9 @@
 		c.handler.metrics.unborne()
 		return true
 	}
+	if refused.Reason == bfhost.Quarantined {
+		return true
+	}
 	return c.last && refused.Reason == bfhost.Full
 }
 
@@ -289,7 +295,7 @@
 	now := c.handler.parts.Timer.Now()
 	switch end := end.(type) {
 	case bfhost.Refused:
-		if end.Reason != bfhost.Full && end.Reason != bfhost.Unborne {
+		if speaksOfTarget(end.Reason) {
 			if length := target.SetAside(now); length > 0 {
 				c.handler.reportAside(target, end, length)
 			}
--- a/lib/bfentry/handler.go
+++ b/lib/bfentry/handler.go
@@ -17,6 +17,8 @@
 	"bilberryflow.org/lib/bfhost"
 	"bilberryflow.org/lib/bflog"
 	"bilberryflow.org/lib/bfmetric"
+	"bilberryflow.org/lib/bfpacer"
+	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bftimer"
 	"bilberryflow.org/lib/bftraffic"
 	"bilberryflow.org/lib/bfwalk"
@@ -35,16 +37,18 @@
 	// Client sends requests to other nodes.
 	Client *bfexchange.Client
 	// Pacer is shared by all ports of the node, nil where nothing is paced.
-	Pacer *bfhost.Pacer
+	Pacer *bfpacer.Pacer
 	// Spawn starts a goroutine of the node's group.
 	Spawn func(name string, fn func(ctx context.Context) error)
 	// Gone is called for a member that was looked for in vain for long.
 	Gone func(bffleet.Member)
 	// Account is the node's own part of the fleet's budgets of repeats.
 	Account *bfbudget.Account
-	Timer   *bftimer.Service
-	Logger  *bflog.Logger
-	Metrics *bfmetric.Registry
+	// Quarantine holds the requests under which targets end; nil is an empty one.
+	Quarantine *bfquarantine.Book
+	Timer      *bftimer.Service
+	Logger     *bflog.Logger
+	Metrics    *bfmetric.Registry
 }
 
 // Handler serves callers.
@@ -70,6 +74,9 @@
 
 // New makes the handler of the callers' port.
 func New(parts Parts) *Handler {
+	if parts.Quarantine == nil {
+		parts.Quarantine = bfquarantine.New("")
+	}
 	return &Handler{parts: parts, metrics: newMetrics(parts.Metrics)}
 }
 
--- a/lib/bfentry/refusal.go
+++ b/lib/bfentry/refusal.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bilberryflow.org/lib/bfhost"
+	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bfwalk"
 )
 
@@ -69,3 +70,27 @@
 	}
 	c.handler.attempts.note(c.route.Name(), attempt{began: c.arrived.Add(-c.used), due: due, deadline: c.callerDeadline}, now)
 }
+
+// speaksOfTarget reports whether a refusal says that the target takes nothing, and not
+// merely that it does not take this request now.
+func speaksOfTarget(reason bfhost.Reason) bool {
+	switch reason {
+	case bfhost.Full, bfhost.Unborne, bfhost.Quarantined:
+		return false
+	}
+	return true
+}
+
+// held is the refusal of a request under which targets end: no target is asked.
+func (c *call) held(now time.Time) (refusal bfhost.Refused, is bool) {
+	view := c.handler.parts.Quarantine.View()
+	if !view.Holds() {
+		return bfhost.Refused{}, false
+	}
+	key := bfquarantine.KeyOf(bfhost.Asked(c.request, c.handler.parts.Names.CallerService))
+	held, is := view.Refuse(key, now)
+	if !is {
+		return bfhost.Refused{}, false
+	}
+	return bfhost.Refused{Reason: bfhost.Quarantined, RetryAfter: held.Until().Sub(now)}, true
+}
--- a/lib/bfhost/crash.go
+++ b/lib/bfhost/crash.go
@@ -17,6 +17,8 @@
 	Target *Target
 	// Runs are the requests that it worked on, those that began last first.
 	Runs []CrashedRun
+	// Blamed are those of them that the end speaks against.
+	Blamed []bfquarantine.Key
 }
 
 // CrashedRun is one request that a target worked on when it ended.
@@ -95,7 +97,16 @@
 	})
 	slices.SortFunc(crash.Runs, func(a, b CrashedRun) int { return cmp.Compare(a.Ran, b.Ran) })
 	crash.Runs = crash.Runs[:min(len(crash.Runs), mostCrashedRuns)]
+	crash.Blamed = h.parts.Quarantine.Crashed(bfquarantine.CrashOf(t.name()), crash.keys(), now)
 	if h.parts.Crashed != nil {
 		h.parts.Crashed(crash)
 	}
 }
+
+func (c Crash) keys() []bfquarantine.Key {
+	keys := make([]bfquarantine.Key, 0, len(c.Runs))
+	for _, run := range c.Runs {
+		keys = append(keys, run.Key)
+	}
+	return keys
+}
--- a/lib/bfhost/host.go
+++ b/lib/bfhost/host.go
@@ -15,6 +15,7 @@
 	"bilberryflow.org/lib/bfbudget"
 	"bilberryflow.org/lib/bfexchange"
 	"bilberryflow.org/lib/bfheader"
+	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bfslot"
 	"bilberryflow.org/lib/bftimer"
 )
@@ -29,6 +30,8 @@
 	Account *bfbudget.Account
 	// Changed is called after each change of what is believed of the target, nil where none is.
 	Changed func(*Target)
+	// Quarantine holds the requests under which targets end; nil is an empty one.
+	Quarantine *bfquarantine.Book
 	// Crashed is called after the target's end without a word, nil where nobody asks.
 	Crashed func(Crash)
 }
@@ -52,10 +55,15 @@
 	// has ended; lastCrash, guarded by mu, is the target that did so last.
 	probes    singleflight.Group
 	lastCrash string
+	// apart says that the target works on a request that has to run apart from others.
+	apart atomic.Bool
 }
 
 // New makes a host that has not heard of its target.
 func New(parts Parts) *Host {
+	if parts.Quarantine == nil {
+		parts.Quarantine = bfquarantine.New("")
+	}
 	return &Host{
 		parts: parts,
 		gate:  bfslot.New(parts.Timer),
@@ -143,6 +151,9 @@
 	if _, refused := h.usable(job.Policy.Service); refused != nil {
 		return refused
 	}
+	if _, refused := h.judge(job.Request); refused != nil {
+		return refused
+	}
 	came := h.parts.Timer.Now()
 	slot, err := h.gate.Acquire(ctx, bfslot.Request{
 		Class: job.Policy.Class, Nested: job.Policy.Nested, Late: job.Policy.Late, Rank: job.Policy.Rank, Patience: job.Policy.Patience,
@@ -160,8 +171,15 @@
 		slot.Release()
 		return refused
 	}
+	// A target may have ended under it while it waited.
+	apart, refused := h.setApart(job.Request)
+	if refused != nil {
+		slot.Release()
+		return refused
+	}
 	run, borne := h.parts.Account.Begin(job.Policy.Class, job.Policy.origin())
 	if !borne {
+		apart()
 		slot.Release()
 		return Refused{Reason: Unborne}
 	}
@@ -169,9 +187,11 @@
 	h.begin(f)
 	end := h.hand(ctx, job, f, func() {
 		h.end(f)
+		apart()
 		slot.Release()
 	})
 	h.failing.judge(end)
+	h.clear(f, end)
 	if answered, ok := end.(Answered); ok {
 		answered.Answer.Spent = Spent{Wait: f.began.Sub(came), Run: h.parts.Timer.Now().Sub(f.began)}
 	}
--- a/lib/bfhost/inbound.go
+++ b/lib/bfhost/inbound.go
@@ -9,16 +9,17 @@
 
 	"bilberryflow.org/lib/bfexchange"
 	"bilberryflow.org/lib/bfheader"
+	"bilberryflow.org/lib/bfpacer"
 )
 
 // Inbound serves requests that other nodes send for the target.
 type Inbound struct {
 	host  *Host
-	pacer *Pacer
+	pacer *bfpacer.Pacer
 }
 
 // NewInbound makes the handler of the node's inbound port.
-func NewInbound(host *Host, pacer *Pacer) *Inbound { return &Inbound{host, pacer} }
+func NewInbound(host *Host, pacer *bfpacer.Pacer) *Inbound { return &Inbound{host, pacer} }
 
 // ServeHTTP takes one request of another node to its end.
 func (i *Inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -112,7 +113,7 @@
 
 // Relay writes an answer; one that breaks off ends the connection, so that it
 // does not look whole.
-func Relay(w http.ResponseWriter, r *http.Request, answer *Answer, pacer *Pacer) {
+func Relay(w http.ResponseWriter, r *http.Request, answer *Answer, pacer *bfpacer.Pacer) {
 	header := w.Header()
 	for name, values := range answer.Header {
 		header[name] = values
@@ -126,9 +127,9 @@
 	}
 	w.WriteHeader(answer.Status)
 	var to io.Writer = writerOnly{w}
-	if pacer.paces(answer.Length) {
-		paced := pacer.begin(answer.Length)
-		defer paced.end()
+	if pacer.Paces(answer.Length) {
+		paced := pacer.Begin(answer.Length)
+		defer paced.End()
 		to = pacedWriter{to, r.Context(), paced}
 	} else {
 		pacer.Charge(int(max(answer.Length, int64(len(answer.Head)))))
@@ -148,15 +149,15 @@
 type pacedWriter struct {
 	to     io.Writer
 	ctx    context.Context
-	answer *pacedAnswer
+	answer *bfpacer.Answer
 }
 
 // Write writes p piece by piece.
 func (w pacedWriter) Write(p []byte) (int, error) {
 	written := 0
 	for written < len(p) {
-		piece := p[written:min(len(p), written+pacedPiece)]
-		if err := w.answer.wait(w.ctx, len(piece)); err != nil {
+		piece := p[written:min(len(p), written+bfpacer.Piece)]
+		if err := w.answer.Wait(w.ctx, len(piece)); err != nil {
 			return written, err
 		}
 		n, err := w.to.Write(piece)
--- a/lib/bfhost/inbound_test.go
+++ b/lib/bfhost/inbound_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bilberryflow.org/lib/bfheader"
+	"bilberryflow.org/lib/bfpacer"
 )
 
 // A caller downloads through another node while this one stops. The target has
@@ -20,7 +21,7 @@
 	const linkMbps = 2 // 64 kB take a third of a second
 	r := newRig(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(bytes.Repeat([]byte("x"), length)) })
 	r.beat("a", 1, Ready)
-	server := httptest.NewServer(NewInbound(r.host, NewPacer(r.host.parts.Timer, linkMbps)))
+	server := httptest.NewServer(NewInbound(r.host, bfpacer.New(r.host.parts.Timer, linkMbps)))
 	t.Cleanup(server.Close)
 	request, err := http.NewRequest(http.MethodGet, server.URL+"/x", nil)
 	r.NoErr(err)
@@ -46,8 +47,8 @@
 func TestBusyLinkRefusesDownloads(t *testing.T) {
 	r := newRig(t, hello)
 	r.beat("a", 1, Ready)
-	pacer := NewPacer(r.host.parts.Timer, 5)
-	busy := pacer.begin(1 << 20)
+	pacer := bfpacer.New(r.host.parts.Timer, 5)
+	busy := pacer.Begin(1 << 20)
 	inbound := NewInbound(r.host, pacer)
 	ask := func(patience time.Duration) *httptest.ResponseRecorder {
 		request := httptest.NewRequest(http.MethodGet, "/x", nil)
@@ -65,6 +66,6 @@
 	r.True(ReadBacklog(refused.Header()) > time.Second)
 	r.Equal(r.runs.Load(), int32(0))
 	r.Equal(ask(0).Code, http.StatusOK)
-	busy.end()
+	busy.End()
 	r.Equal(ask(500*time.Millisecond).Code, http.StatusOK)
 }
--- a/lib/bfhost/job.go
+++ b/lib/bfhost/job.go
@@ -76,6 +76,8 @@
 	// Unborne means that the request is a repeat, and that the budgets of the services
 	// that its run calls don't bear those calls once more.
 	Unborne Reason = "unborne"
+	// Quarantined means that several targets have ended under the request.
+	Quarantined Reason = "quarantined"
 )
 
 // Refused means that the request has not run and never will by this sending.
--- a/lib/bflog/events.go
+++ b/lib/bflog/events.go
@@ -61,7 +61,9 @@
 
 // Events of requests under which targets end.
 var (
-	TargetCrashed = declare(4107, slog.LevelWarn, "target ended while it ran requests", "Look for a request that ran at several ends: the same content stands in the lines of all of them.")
+	TargetCrashed      = declare(4107, slog.LevelWarn, "target ended while it ran requests", "Look for a request that ran at several ends: the same content stands in the lines of all of them.")
+	RequestSuspected   = declare(4108, slog.LevelInfo, "targets ended under a request, it runs apart", "Nothing yet; its answer clears it, the next end of a target has it held.")
+	RequestQuarantined = declare(4109, slog.LevelWarn, "targets ended under a request, it is held", "Find the request by its content in the lines 4107 and mend the target; it is refused until then, and tried again after the time given.")
 )
 
 // Events of the store that the platform keeps.
--- a/lib/bfnews/news.go
+++ b/lib/bfnews/news.go
@@ -55,6 +55,21 @@
 	Follows() bool
 }
 
+// Comparer keeps something else that nodes know the same everywhere; its digest rides on
+// what they exchange anyway.
+type Comparer interface {
+	// Digest identifies what this node knows, 0 for nothing.
+	Digest() uint64
+	// Saw takes the digest of a peer.
+	Saw(peer string, digest uint64)
+}
+
+// nothing is the Comparer of a node that has none.
+type nothing struct{}
+
+func (nothing) Digest() uint64     { return 0 }
+func (nothing) Saw(string, uint64) {}
+
 // question tells what the asking node holds.
 type question struct {
 	Version  bftraffic.Version `json:"version"`
@@ -63,6 +78,8 @@
 	Send bool `json:"send,omitempty"`
 	// Peer is where the asking node takes calls.
 	Peer string `json:"peer"`
+	// Quarantine is the Comparer's digest.
+	Quarantine uint64 `json:"quarantine,omitempty"`
 }
 
 // reply tells what the answering node holds, and brings in CBOR what was asked for.
@@ -74,6 +91,8 @@
 	Delta  []byte `json:"delta,omitempty"`
 	Spec   []byte `json:"spec,omitempty"`
 	Roster []byte `json:"roster,omitempty"`
+	// Quarantine is the Comparer's digest.
+	Quarantine uint64 `json:"quarantine,omitempty"`
 }
 
 // Exchange asks other nodes for news and answers them.
@@ -86,6 +105,7 @@
 	timer  *bftimer.Service
 	logger *bflog.Logger
 	spawn  func(name string, fn func(ctx context.Context) error)
+	also   Comparer
 	// began is when the node started.
 	began time.Time
 	// first says that the whole fleet starts for the first time, meeting when this node
@@ -121,13 +141,18 @@
 	Logger *bflog.Logger
 	// Spawn starts a goroutine of the node's group.
 	Spawn func(name string, fn func(ctx context.Context) error)
+	// Also is compared with other nodes beside the state, nil for nothing.
+	Also Comparer
 }
 
 // New makes the exchange of a node that starts now.
 func New(parts Parts) *Exchange {
+	if parts.Also == nil {
+		parts.Also = nothing{}
+	}
 	return &Exchange{
 		self: parts.Self, place: parts.Place, first: parts.First, state: parts.State, fleet: parts.Fleet,
-		calls: parts.Calls, timer: parts.Timer, logger: parts.Logger, spawn: parts.Spawn,
+		calls: parts.Calls, timer: parts.Timer, logger: parts.Logger, spawn: parts.Spawn, also: parts.Also,
 		meeting: firstMeeting + time.Duration(rand.Float64()*float64(meetingSpread)),
 		changed: make(chan struct{}, 1), began: time.Now(),
 	}
@@ -219,10 +244,11 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	held := e.state.Version()
-	asked := question{Version: held, Revision: e.state.Revision(), Send: send, Peer: e.self}
+	asked := question{Version: held, Revision: e.state.Revision(), Send: send, Peer: e.self, Quarantine: e.also.Digest()}
 	if err := e.calls.Call(ctx, peer, Method, asked, &told); err != nil {
 		return reply{}, false
 	}
+	e.also.Saw(peer, told.Quarantine)
 	e.take(told)
 	if e.state.Version() > held {
 		e.hint()
@@ -233,7 +259,7 @@
 // VersionAt asks a node for the version in force there.
 func (e *Exchange) VersionAt(ctx context.Context, peer string) (bftraffic.Version, error) {
 	var told reply
-	asked := question{Version: e.state.Version(), Revision: e.state.Revision(), Peer: e.self}
+	asked := question{Version: e.state.Version(), Revision: e.state.Revision(), Peer: e.self, Quarantine: e.also.Digest()}
 	err := e.calls.Call(ctx, peer, Method, asked, &told)
 	return told.Version, err
 }
@@ -261,6 +287,9 @@
 	if err := json.Unmarshal(params, &asked); err != nil {
 		return nil, err
 	}
+	if asked.Peer != "" {
+		e.also.Saw(asked.Peer, asked.Quarantine)
+	}
 	if e.behind(asked.Version, asked.Revision) && e.askingBack.CompareAndSwap(false, true) {
 		e.spawn("ask back", func(ctx context.Context) error {
 			defer e.askingBack.Store(false)
@@ -286,7 +315,7 @@
 }
 
 func (e *Exchange) reply(asked question) (reply, error) {
-	r := reply{Version: e.state.Version(), Revision: e.state.Revision()}
+	r := reply{Version: e.state.Version(), Revision: e.state.Revision(), Quarantine: e.also.Digest()}
 	if !asked.Send {
 		return r, nil
 	}
--- a/lib/bfnews/plan.go
+++ b/lib/bfnews/plan.go
@@ -146,3 +146,22 @@
 	_, _ = h.Write([]byte(text)) // never fails
 	return h.Sum64()
 }
+
+// audience are the members that hear first of what a node learned: the relays of its domain
+// and the sources, and those whom it tells where it is one of these itself. A follower
+// passes on only what it learned itself.
+func (p *plan) audience(inbound string, own bool) []bffleet.Member {
+	if p.size == 0 || !own && p.standing(inbound) == follower {
+		return nil
+	}
+	all := p.guides(inbound)
+	if p.standing(inbound) == follower {
+		return all
+	}
+	for _, m := range p.told(inbound) {
+		if !slices.Contains(all, m) {
+			all = append(all, m)
+		}
+	}
+	return all
+}
--- a/lib/bfnews/tell.go
+++ b/lib/bfnews/tell.go
@@ -32,6 +32,8 @@
 	Reader bool `json:"reader,omitempty"`
 	// Hint says that the teller is none to hear from, and only learned something.
 	Hint bool `json:"hint,omitempty"`
+	// Quarantine is the Comparer's digest.
+	Quarantine uint64 `json:"quarantine,omitempty"`
 }
 
 // Changed has the node tell at once those who hear from it.
@@ -90,7 +92,7 @@
 // The revision is read before the version: taken the other way round, a change in between
 // would have an old version pass for the newest as of the change.
 func (e *Exchange) tale(reader bool) tale {
-	t := tale{AsOf: e.state.VersionAsOf(), Peer: e.self, Reader: reader, Fresh: reader || e.hears(&e.heard.reader)}
+	t := tale{AsOf: e.state.VersionAsOf(), Peer: e.self, Quarantine: e.also.Digest(), Reader: reader, Fresh: reader || e.hears(&e.heard.reader)}
 	t.Version, t.Revision = e.state.Version(), e.state.Revision()
 	return t
 }
@@ -195,6 +197,9 @@
 		return nil, err
 	}
 	e.note(t)
+	if !t.Hint {
+		e.also.Saw(t.Peer, t.Quarantine)
+	}
 	e.takeDelta(t.Delta)
 	e.takeMembers(t.Members)
 	e.state.TakeAsOf(t.Version, t.AsOf)
@@ -224,3 +229,11 @@
 		e.state.TakeMembers(delta)
 	}
 }
+
+// Audience are the peers that hear first of what this node learned, itself or from another.
+func (e *Exchange) Audience(own bool) (peers []string) {
+	for _, m := range e.plan().audience(e.place.Inbound, own) {
+		peers = append(peers, m.Peer)
+	}
+	return peers
+}
--- a/lib/bfhost/pacer.go
+++ b/lib/bfpacer/pacer.go
@@ -1,4 +1,4 @@
-package bfhost
+package bfpacer
 
 import (
 	"context"
@@ -37,7 +37,7 @@
 
 // piece is a part of an answer that waits for the link.
 type piece struct {
-	answer  *pacedAnswer
+	answer  *Answer
 	bytes   int
 	granted chan struct{}
 }
@@ -53,8 +53,8 @@
 	headerBytes = 500
 	// pacedFrom is the length from which an answer is long.
 	pacedFrom = 16 << 10
-	// pacedPiece is the size of the pieces it is written in: 7 ms at 5 Mbit/s.
-	pacedPiece = 4 << 10
+	// Piece is the size of the pieces it is written in: 7 ms at 5 Mbit/s.
+	Piece = 4 << 10
 	// pacedBelow is the bandwidth in Mbit/s below which answers are paced; on a
 	// faster link a download of 90 kB takes 7 ms at most.
 	pacedBelow = 100
@@ -63,8 +63,8 @@
 	pacedLag = 20 * time.Millisecond
 )
 
-// NewPacer makes the pacer of a link of a bandwidth in Mbit/s.
-func NewPacer(timer *bftimer.Service, mbps float64) *Pacer {
+// New makes the pacer of a link of a bandwidth in Mbit/s.
+func New(timer *bftimer.Service, mbps float64) *Pacer {
 	const bytesOfMbit = 1e6 / 8
 	p := &Pacer{timer: timer}
 	if mbps < pacedBelow {
@@ -73,8 +73,8 @@
 	return p
 }
 
-// paces reports whether an answer of that length is paced.
-func (p *Pacer) paces(length int64) bool {
+// Paces reports whether an answer of that length is paced.
+func (p *Pacer) Paces(length int64) bool {
 	return p != nil && p.rate > 0 && (length < 0 || length >= pacedFrom)
 }
 
@@ -112,34 +112,34 @@
 	return time.Duration(float64(bytes) / p.rate * float64(time.Second))
 }
 
-// pacedAnswer is one long answer on its way; end must be called.
-type pacedAnswer struct {
+// Answer is one long answer on its way; End must be called.
+type Answer struct {
 	pacer *Pacer
 	order uint64
 	// left is what the answer still counts for in the backlog.
 	left int64
 }
 
-// begin takes a long answer of a length, negative where it is not known.
-func (p *Pacer) begin(length int64) *pacedAnswer {
+// Begin takes a long answer of a length, negative where it is not known.
+func (p *Pacer) Begin(length int64) *Answer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.begun++
-	a := &pacedAnswer{pacer: p, order: p.begun, left: max(length, 0)}
+	a := &Answer{pacer: p, order: p.begun, left: max(length, 0)}
 	p.backlog += a.left
 	return a
 }
 
-// end takes back what the answer counts for.
-func (a *pacedAnswer) end() {
+// End takes back what the answer counts for.
+func (a *Answer) End() {
 	a.pacer.mu.Lock()
 	defer a.pacer.mu.Unlock()
 	a.pacer.backlog -= a.left
 	a.left = 0
 }
 
-// wait waits until a number of bytes may go.
-func (a *pacedAnswer) wait(ctx context.Context, bytes int) error {
+// Wait waits until a number of bytes may go.
+func (a *Answer) Wait(ctx context.Context, bytes int) error {
 	w := a.pacer.enter(a, bytes)
 	if w == nil {
 		return nil
@@ -154,7 +154,7 @@
 }
 
 // enter lets bytes go, or gives the piece that waits.
-func (p *Pacer) enter(a *pacedAnswer, bytes int) *piece {
+func (p *Pacer) enter(a *Answer, bytes int) *piece {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.timer.Now()
@@ -198,7 +198,7 @@
 }
 
 // grant lets bytes go; it needs the lock.
-func (p *Pacer) grant(a *pacedAnswer, bytes int, now time.Time) {
+func (p *Pacer) grant(a *Answer, bytes int, now time.Time) {
 	p.take(bytes, now)
 	counted := min(int64(bytes), a.left)
 	a.left -= counted
--- a/lib/bfhost/pacer_test.go
+++ b/lib/bfpacer/pacer_test.go
@@ -1,4 +1,4 @@
-package bfhost
+package bfpacer
 
 import (
 	"context"
@@ -21,12 +21,12 @@
 	var all sync.WaitGroup
 	for i := range answers {
 		all.Add(1)
-		answer := pacer.begin(int64(length))
+		answer := pacer.Begin(int64(length))
 		group.Go("answer", func(ctx context.Context) error {
 			defer all.Done()
-			defer answer.end()
-			for sent := 0; sent < length; sent += pacedPiece {
-				if answer.wait(ctx, pacedPiece) != nil {
+			defer answer.End()
+			for sent := 0; sent < length; sent += Piece {
+				if answer.Wait(ctx, Piece) != nil {
 					return nil
 				}
 			}
@@ -47,7 +47,7 @@
 		timer := bftimer.New(1)
 		group.Go("timer", timer.Run)
 		const mbps, length = 5, 100 << 10
-		pacer := NewPacer(timer, mbps)
+		pacer := New(timer, mbps)
 		each := pacer.length(length)
 		ends := paceAll(t, pacer, group, 5, length)
 		for i, end := range ends {
@@ -64,18 +64,18 @@
 // longer counts, or the node would refuse others for a link that is free.
 func TestBacklogForgetsWhatIsNotSent(t *testing.T) {
 	is := is.New(t)
-	pacer := NewPacer(bftimer.New(1), 5)
-	answer := pacer.begin(1 << 20)
+	pacer := New(bftimer.New(1), 5)
+	answer := pacer.Begin(1 << 20)
 	is.True(pacer.Backlog() > 3*pacer.length(1<<20)/4)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	for range 10 { // more than pacedLag lets go at once
-		if answer.wait(ctx, pacedPiece) != nil {
+		if answer.Wait(ctx, Piece) != nil {
 			break
 		}
 	}
 	is.True(pacer.Backlog() > 3*pacer.length(1<<20)/4)
-	answer.end()
+	answer.End()
 	is.Equal(pacer.Backlog(), time.Duration(0))
 	is.Equal(len(pacer.waiting), 0)
 	is.Equal((*Pacer)(nil).Backlog(), time.Duration(0))
--- /dev/null
+++ b/lib/bfquarantine/book_test.go
@@ -0,0 +1,269 @@
+package bfquarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func key(target, caller string) Key {
+	return KeyOf(Request{Method: "GET", Host: "h", Target: target, Caller: caller})
+}
+
+// crashed has so many targets end under a request of a caller, a second apart.
+func crashed(b *Book, k Key, ends int, from time.Time) (last time.Time) {
+	for i := range ends {
+		last = from.Add(time.Duration(i) * time.Second)
+		b.Crashed(CrashOf(fmt.Sprint(k, from, i)), []Key{k}, last)
+	}
+	return last
+}
+
+func name(v Verdict) string { return fmt.Sprintf("%T", v) }
+
+// Guards against requests being told apart by their attempts, or not by what they ask for.
+func TestKeyIsThatOfTheRequestAndNotOfTheAttempt(t *testing.T) {
+	is := is.New(t)
+	one := Request{Method: "GET", Host: "h", Target: "/a?b", Caller: "c", Body: []byte("d"), Length: 1}
+	is.Equal(KeyOf(one), KeyOf(one))
+	for _, change := range []func(*Request){
+		func(r *Request) { r.Method = "POST" },
+		func(r *Request) { r.Host = "i" },
+		func(r *Request) { r.Target = "/a?c" },
+		func(r *Request) { r.Caller = "d" },
+		func(r *Request) { r.Body = []byte("e") },
+		func(r *Request) { r.Host, r.Target = "h/a", "?b" },
+	} {
+		other := one
+		change(&other)
+		is.True(KeyOf(other) != KeyOf(one))
+	}
+	// The bodies differ and the path is the same: one of them may end targets alone.
+	other := one
+	other.Body = []byte("e")
+	is.True(KeyOf(other).Content != KeyOf(one).Content)
+}
+
+// Guards against a request that ends targets being sent to a fourth one.
+func TestRequestIsHeldAfterThreeEnds(t *testing.T) {
+	is := is.New(t)
+	b := New("n")
+	bad := key("/bad", "c")
+	is.True(!b.View().Watches())
+	crashed(b, bad, 1, start)
+	is.Equal(name(b.View().Judge(bad, start)), "bfquarantine.Free")
+	is.True(!b.View().Watches()) // one end makes no node compute keys
+	now := crashed(b, bad, 1, start.Add(time.Minute))
+	is.Equal(name(b.View().Judge(bad, now)), "bfquarantine.Apart")
+	now = crashed(b, bad, 1, start.Add(2*time.Minute))
+	is.Equal(name(b.View().Judge(bad, now)), "bfquarantine.Held")
+	held, refused := b.View().Refuse(bad, now)
+	is.True(refused)
+	is.Equal(held.Until(), now.Add(firstHold))
+	is.Equal(name(b.View().Judge(key("/bad?x", "c"), now)), "bfquarantine.Free")
+}
+
+// Guards against one target's end, told by several nodes or twice, counting for several.
+func TestOneEndCountsOnce(t *testing.T) {
+	is := is.New(t)
+	b := New("n")
+	bad := key("/bad", "c")
+	for range 5 {
+		b.Crashed(CrashOf("one"), []Key{bad, bad}, start)
+	}
+	is.Equal(name(b.View().Judge(bad, start)), "bfquarantine.Free")
+}
+
+// Guards against requests being held that merely ran beside one that ends targets.
+func TestOnlyTheSuspectedRequestIsBlamed(t *testing.T) {
+	is := is.New(t)
+	b := New("n")
+	bad, beside := key("/bad", "c"), key("/beside", "c")
+	crashed(b, bad, 2, start)
+	for i := range 6 {
+		blamed := b.Crashed(CrashOf(fmt.Sprint("end ", i)), []Key{beside, bad}, start.Add(time.Minute))
+		is.Equal(blamed, []Key{bad})
+	}
+	is.Equal(name(b.View().Judge(beside, start.Add(time.Minute))), "bfquarantine.Free")
+}
+
+// Guards against a request that many callers make being held after several targets ended
+// for reasons of their own: its answers elsewhere clear it, also once it is held.
+func TestAnswerClearsARequest(t *testing.T) {
+	is := is.New(t)
+	b, other := New("n"), New("m")
+	popular := key("/popular", "c")
+	now := crashed(b, popular, 3, start)
+	other.Merge(b.Records(now), now)
+	is.Equal(name(other.View().Judge(popular, now)), "bfquarantine.Held")
+	is.True(other.Answered(popular, now)) // it ran there all the while
+	is.Equal(name(other.View().Judge(popular, now)), "bfquarantine.Free")
+	is.Equal(len(b.Merge(other.Records(now), now)), 1)
+	is.Equal(name(b.View().Judge(popular, now)), "bfquarantine.Free")
+	is.Equal(len(b.Merge(other.Records(now), now)), 0)
+	// What others still tell of the ends that were cleared changes nothing.
+	third := New("l")
+	crashed(third, popular, 3, start)
+	b.Merge(third.Records(now), now)
+	is.Equal(name(b.View().Judge(popular, now)), "bfquarantine.Free")
+	// Ends after that count anew.
+	now = crashed(b, popular, 3, now.Add(time.Minute))
+	is.Equal(name(b.View().Judge(popular, now)), "bfquarantine.Held")
+}
+
+// Guards against a request passing in the name of other callers, and against callers being
+// held for what another's request does.
+func TestCallers(t *testing.T) {
+	is := is.New(t)
+	b := New("n")
+	one, two, three := key("/bad", "one"), key("/bad", "two"), key("/bad", "three")
+	now := crashed(b, one, 3, start)
+	is.Equal(name(b.View().Judge(one, now)), "bfquarantine.Held")
+	is.Equal(name(b.View().Judge(two, now)), "bfquarantine.Free") // it may be the caller that makes it so
+	crashed(b, two, 1, now)
+	is.Equal(name(b.View().Judge(two, now)), "bfquarantine.Held")
+	is.Equal(name(b.View().Judge(three, now)), "bfquarantine.Held")
+	is.True(b.Answered(three, now))
+	is.Equal(name(b.View().Judge(three, now)), "bfquarantine.Free")
+	is.Equal(name(b.View().Judge(one, now)), "bfquarantine.Held")
+}
+
+// Guards against a verdict that never ends, one that ends at all nodes at one moment, and
+// one that a request gets rid of by waiting.
+func TestVerdictEndsInATrial(t *testing.T) {
+	is := is.New(t)
+	bad := key("/bad", "c")
+	var ends []time.Time
+	for i := range 20 {
+		b := New(fmt.Sprint("node ", i))
+		now := crashed(b, bad, 3, start)
+		held := b.View().Judge(bad, now).(Held)
+		is.True(!held.Until().Before(now.Add(firstHold)) && held.Until().Before(now.Add(longestStretch*firstHold+time.Second)))
+		ends = append(ends, held.Until())
+		is.Equal(name(b.View().Judge(bad, held.Until())), "bfquarantine.Apart")
+		again := held.Until().Add(time.Second)
+		crashed(b, bad, 1, again)
+		is.Equal(name(b.View().Judge(bad, again)), "bfquarantine.Held")
+		longer, _ := b.View().Refuse(bad, again)
+		is.Equal(longer.Until(), again.Add(2*firstHold))
+		b.Sweep(again.Add(longestStretch*2*firstHold + retention + time.Second))
+		is.Equal(b.View().Len(), 0)
+		is.Equal(b.View().Digest(), uint64(0))
+	}
+	is.True(len(distinct(ends)) > 15)
+	is.Equal(hold(40), longestHold)
+}
+
+func distinct(times []time.Time) map[time.Time]bool {
+	set := map[time.Time]bool{}
+	for _, t := range times {
+		set[t] = true
+	}
+	return set
+}
+
+// Guards against a flood of requests that each end targets filling the memory, and against
+// it pushing out those that are held.
+func TestFloodOfDistinctRequestsIsBounded(t *testing.T) {
+	is := is.New(t)
+	b := New("n")
+	bad := key("/bad", "c")
+	now := crashed(b, bad, 3, start)
+	for i := range 5000 {
+		now = now.Add(time.Millisecond)
+		b.Crashed(CrashOf(fmt.Sprint("flood ", i)), []Key{key(fmt.Sprint("/", i), "c"), key(fmt.Sprint("/other/", i), "c")}, now)
+	}
+	is.True(b.View().Len() <= mostHeld+mostSuspected)
+	is.Equal(name(b.View().Judge(bad, now)), "bfquarantine.Held")
+	for i := range 40 { // one content under many callers
+		b.Crashed(CrashOf(fmt.Sprint("callers ", i)), []Key{key("/many", fmt.Sprint(i))}, now)
+	}
+	is.True(len(b.View().records[key("/many", "").Content].crashes) <= mostMarks)
+}
+
+// Guards against nodes that heard the same in another order, or twice, disagreeing.
+func TestMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		books := []*Book{New("a"), New("b"), New("c")}
+		now := start
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "pause")) * time.Millisecond)
+			b := books[rapid.IntRange(0, 2).Draw(t, "node")]
+			k := key(rapid.SampledFrom([]string{"/x", "/y"}).Draw(t, "target"), rapid.SampledFrom([]string{"c", "d"}).Draw(t, "caller"))
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0, 1:
+				b.Crashed(Crash(rapid.IntRange(1, 12).Draw(t, "crash")), []Key{k}, now)
+			case 2:
+				b.Answered(k, now)
+			case 3:
+				b.Merge(books[rapid.IntRange(0, 2).Draw(t, "from")].Records(now), now)
+			}
+		}
+		for range 2 {
+			for _, to := range books {
+				for _, from := range books {
+					to.Merge(from.Records(now), now)
+				}
+			}
+		}
+		for _, b := range books[1:] {
+			if b.View().Digest() != books[0].View().Digest() {
+				t.Fatalf("%v\n%v", books[0].Records(now), b.Records(now))
+			}
+		}
+	})
+}
+
+// Guards against messages of other versions, or damaged ones, ending the process or lasting.
+func TestHostileRecords(t *testing.T) {
+	is := is.New(t)
+	b := New("n")
+	content := make([]byte, 16)
+	many := make([]Mark, 10_000)
+	for i := range many {
+		many[i] = Mark{Crash: Crash(i), Caller: Caller(i)}
+	}
+	b.Merge([]Record{
+		{}, {Content: []byte("short"), Crashes: many}, {Content: content, AgeMilli: -1, Crashes: many},
+		{Content: content, AgeMilli: 1 << 62, Crashes: many},
+	}, start)
+	is.Equal(b.View().Len(), 0)
+	b.Merge([]Record{{Content: content, Crashes: many, Cleared: many}}, start)
+	is.True(b.View().Len() <= 1)
+}
+
+func BenchmarkNothingKnown(b *testing.B) {
+	book := New("n")
+	for b.Loop() {
+		if book.View().Watches() {
+			b.Fatal()
+		}
+	}
+}
+
+func BenchmarkKeyAndVerdict(b *testing.B) {
+	book := New("n")
+	bad := key("/bad", "c")
+	now := crashed(book, bad, 3, start)
+	asked := Request{Method: "POST", Host: "h.example", Target: "/approve/1", Caller: "portal", Body: make([]byte, 4000), Length: 4000}
+	for b.Loop() {
+		book.View().Judge(KeyOf(asked), now)
+	}
+}
+
+func BenchmarkCrashedWithAFullBook(b *testing.B) {
+	book := New("n")
+	for i := range mostSuspected {
+		book.Crashed(CrashOf(fmt.Sprint(i)), []Key{key(fmt.Sprint("/", i), "c")}, start)
+	}
+	at := 0
+	for b.Loop() {
+		at++
+		book.Crashed(CrashOf(fmt.Sprint("b", at)), []Key{key(fmt.Sprint("/b", at), "c")}, start)
+	}
+}
--- a/lib/bfquarantine/key.go
+++ b/lib/bfquarantine/key.go
@@ -50,8 +50,8 @@
 // Crash identifies the end of one target incarnation.
 type Crash uint64
 
-// CrashOf names the end of an incarnation; the address tells those of one name apart.
-func CrashOf(address, incarnation string) Crash { return Crash(hashOf(address + " " + incarnation)) }
+// CrashOf names the end of the target incarnation of that name, which no other has.
+func CrashOf(incarnation string) Crash { return Crash(hashOf(incarnation)) }
 
 func hashOf(text string) uint64 {
 	sum := sha256.Sum256([]byte(text))
