The product's own interface holds requests under which targets end

The same cause as on the platform: an entry's retries and its callers' new requests went from target to target, and the guard of each took them for new ones. bfflight now knows for both what a target works on, finds out whether it ended, and keeps held requests from it; the entry refuses them unasked. The digest of what is held rides on probes and acks, and three members are told at once what is new.

--- a/bfnode/internal/bfcommand/node.go
+++ b/bfnode/internal/bfcommand/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -12,6 +13,7 @@
 	"bilberryflow.org/lib/bfconfig"
 	"bilberryflow.org/lib/bfcontrol"
 	"bilberryflow.org/lib/bfdirectory"
+	"bilberryflow.org/lib/bfflight"
 	"bilberryflow.org/lib/bfforward"
 	"bilberryflow.org/lib/bfgroup"
 	"bilberryflow.org/lib/bfguard"
@@ -19,9 +21,11 @@
 	"bilberryflow.org/lib/bfmetric"
 	"bilberryflow.org/lib/bfoperator"
 	"bilberryflow.org/lib/bfpeer"
+	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bfrecord"
 	"bilberryflow.org/lib/bfroster"
 	"bilberryflow.org/lib/bfroute"
+	"bilberryflow.org/lib/bfrumor"
 	"bilberryflow.org/lib/bftable"
 	"bilberryflow.org/lib/bftimer"
 )
@@ -46,6 +50,8 @@
 	calls    *bfpeer.Calls
 	client   *bfforward.Client
 	control  *bfcontrol.Control
+	book     *bfquarantine.Book
+	rumor    *bfrumor.Exchange
 	guard    *bfguard.Guard
 	teller   teller
 	entry    *bfcaller.Entry
@@ -62,6 +68,7 @@
 		metrics: bfmetric.New(),
 		group:   bfgroup.New(context.Background()),
 		timer:   bftimer.New(incarnation),
+		book:    bfquarantine.New(settings.Instance),
 	}
 	n.metrics.Publish("node")
 	n.metrics.Gauge("goroutines_in_group", n.group.Running)
@@ -74,6 +81,10 @@
 	traffic := bfpeer.NewTraffic(n.metrics)
 	methods := bfpeer.Methods{}
 	n.calls = bfpeer.NewCalls(methods, traffic, n.group)
+	n.rumor = bfrumor.New(bfrumor.Parts{
+		Self: settings.Listen.Peer, Book: n.book, Calls: n.calls, Timer: n.timer, Spawn: n.group.Go,
+		Audience: n.rumorAudience,
+	})
 	n.newGuard(minter, directory)
 	n.newTeller()
 	if err := n.newControl(directory, traffic, methods); err != nil {
@@ -90,9 +101,30 @@
 		View: n.view, Client: bfforward.New(bfforward.TargetOptions()), Minter: minter,
 		Timer: n.timer, Logger: n.logger, Metrics: n.metrics, Tell: n.tell,
 		Table: n.platform, Directory: directory, Resolver: bfguard.Resolver{Calls: n.calls}, Spawn: n.group.Go,
+		Quarantine: n.book, Crashed: n.targetCrashed,
 	})
 }
 
+// rumorFanout is how many members a node tells what is new to it; each of them tells as
+// many. Three reach all but a few in a hundred, and those see another digest on a probe.
+const rumorFanout = 3
+
+// rumorAudience are the peers that hear at once of what is new here, drawn anew each time.
+func (n *node) rumorAudience(bool) (peers []string) {
+	order := n.control.Order()
+	for range rumorFanout {
+		if row := order.At(rand.IntN(order.Len())).Row(); row.ID != n.settings.Instance && row.State.Present() {
+			peers = append(peers, row.Peer)
+		}
+	}
+	return peers
+}
+
+// targetCrashed tells of a target that ended, and of what it ran.
+func (n *node) targetCrashed(crash bfflight.Crash) {
+	bfflight.Report(n.logger, crash, n.book.View(), n.timer.Now())
+}
+
 func (n *node) newTeller() {
 	n.teller.status = func() bfguard.Status { return n.guard.Status(n.timer.Now()) }
 	n.teller.tell = func(ctx context.Context, status bfguard.Status) error {
@@ -110,7 +142,7 @@
 		Self: n.row(), Seeds: n.settings.Seeds, Profile: n.settings.profile(),
 		Table: n.platform, Objects: n.platform, Datagrams: datagrams, Calls: n.calls,
 		Directory: directory, Timer: n.timer, Group: n.group, Logger: n.logger, Metrics: n.metrics,
-		Seed: n.home.Incarnation, Reincarnated: n.guard.AddIncarnation,
+		Seed: n.home.Incarnation, Reincarnated: n.guard.AddIncarnation, Quarantine: n.rumor,
 	})
 	if err != nil {
 		return err
@@ -118,6 +150,7 @@
 	// Nothing is served before the methods are all there.
 	maps.Copy(methods, n.control.Methods())
 	maps.Copy(methods, n.guard.Methods())
+	maps.Copy(methods, n.rumor.Methods())
 	maps.Copy(methods, bfbackend.Methods(n.guard.DrainTarget))
 	maps.Copy(methods, bfbackend.InForceMethods(n.control.View))
 	return nil
@@ -135,6 +168,7 @@
 	n.entry = bfcaller.New(bfcaller.Parts{
 		View: n.view, Directory: directory, Client: n.client, Resolver: bfguard.Resolver{Calls: n.calls},
 		Minter: minter, Timer: n.timer, Metrics: n.metrics, Spawn: n.group.Go,
+		Quarantine: n.book,
 	})
 	n.caller = bfcaller.NewHandler(n.entry, n.settings.Requests.MaxBody, n.settings.Requests.BodyTimeout.Std())
 }
--- a/lib/bfcaller/attempt.go
+++ b/lib/bfcaller/attempt.go
@@ -146,11 +146,7 @@
 	if err := meta.Write(header); err != nil {
 		return bfforward.Request{}, err
 	}
-	target := c.request.Path
-	if c.request.Query != "" {
-		target += "?" + c.request.Query
-	}
-	return bfforward.Request{Method: c.request.Method, Target: target, Header: header, Body: c.request.Body}, nil
+	return bfforward.Request{Method: c.request.Method, Target: c.request.target(), Header: header, Body: c.request.Body}, nil
 }
 
 // take takes the home's word on a request that brought no answer.
--- a/lib/bfcaller/entry.go
+++ b/lib/bfcaller/entry.go
@@ -12,6 +12,7 @@
 	"bilberryflow.org/lib/bfevent"
 	"bilberryflow.org/lib/bfforward"
 	"bilberryflow.org/lib/bfmetric"
+	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bfrecord"
 	"bilberryflow.org/lib/bfretry"
 	"bilberryflow.org/lib/bfroute"
@@ -36,6 +37,8 @@
 	Minter    *bfrecord.Minter
 	Timer     *bftimer.Service
 	Metrics   *bfmetric.Registry
+	// Quarantine holds the requests under which targets end; nil is an empty one.
+	Quarantine *bfquarantine.Book
 	// Spawn starts a goroutine of the node's group.
 	Spawn func(name string, fn func(ctx context.Context) error)
 }
@@ -49,6 +52,9 @@
 
 // New makes an entry.
 func New(parts Parts) *Entry {
+	if parts.Quarantine == nil {
+		parts.Quarantine = bfquarantine.New("")
+	}
 	return &Entry{parts: parts, metrics: newMetrics(parts.Metrics)}
 }
 
--- a/lib/bfcaller/judge.go
+++ b/lib/bfcaller/judge.go
@@ -74,7 +74,8 @@
 func tookNone(reason bfrecord.Reason) bool {
 	switch reason {
 	case bfrecord.ReasonOverload, bfrecord.ReasonLeaving, bfrecord.ReasonDeadline, bfrecord.ReasonCanceled,
-		bfrecord.ReasonTableAway, bfrecord.ReasonBookFull, bfrecord.ReasonMismatch:
+		bfrecord.ReasonTableAway, bfrecord.ReasonBookFull, bfrecord.ReasonMismatch,
+		bfrecord.ReasonQuarantined:
 		return true
 	}
 	return false
--- /dev/null
+++ b/lib/bfcaller/quarantine_test.go
@@ -0,0 +1,61 @@
+package bfcaller_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"bilberryflow.org/lib/bfforward"
+	"bilberryflow.org/lib/bfheader"
+	"bilberryflow.org/lib/bfrecord"
+)
+
+// endAt has the targets end while they run a request of that path and query.
+func (w *world) endAt(target string) {
+	for _, n := range w.nodes {
+		n.target.does(func(rw http.ResponseWriter, r *http.Request) {
+			if r.URL.RequestURI() == target {
+				n.target.kill()
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = io.WriteString(rw, "ran "+r.Header.Get(order))
+		})
+	}
+}
+
+// Guards against a request under which each target ends being sent from one to the next
+// over the product's own interface, by an entry's retries and as new requests.
+func TestRequestUnderWhichTargetsEndIsHeld(t *testing.T) {
+	is := is.New(t)
+	w, entry := newEntry(t, bfforward.HTTP1, 6)
+	entry.earn(is, 8)
+	w.endAt(lookUp + "?bad")
+	for range 4 {
+		_ = entry.ask("GET", lookUp+"?bad", "bad")
+	}
+	is.Equal(w.ran("bad"), 3)
+	got := entry.ask("GET", lookUp+"?bad", "bad")
+	is.Equal(got.outcome, bfheader.OutcomeNotRun)
+	is.True(strings.Contains(got.body, string(bfrecord.ReasonQuarantined)))
+	is.True(strings.HasPrefix(got.header.Get(bfheader.RetryAfter), "30") || strings.HasPrefix(got.header.Get(bfheader.RetryAfter), "29"))
+	is.Equal(entry.ask("GET", lookUp+"?good", "good").body, "ran good")
+	is.Equal(w.ran("bad"), 3)
+}
+
+// Guards against nominations, which nobody repeats, ending one target for each time that
+// their callers send them.
+func TestNominationUnderWhichTargetsEndIsHeld(t *testing.T) {
+	is := is.New(t)
+	w, entry := newEntry(t, bfforward.HTTP1, 6)
+	w.endAt(approve + "?bad")
+	outcomes := map[string]int{}
+	for range 6 {
+		outcomes[entry.ask("POST", approve+"?bad", "bad").outcome]++
+	}
+	is.Equal(outcomes, map[string]int{bfheader.OutcomeUnknown: 3, bfheader.OutcomeNotRun: 3})
+	is.Equal(w.ran("bad"), 3)
+	is.Equal(entry.ask("POST", approve+"?good", "good").body, "ran good")
+}
--- a/lib/bfcaller/request.go
+++ b/lib/bfcaller/request.go
@@ -26,6 +26,14 @@
 	Resent bool
 }
 
+// target is the path and query as they stand in the request line.
+func (r Request) target() string {
+	if r.Query == "" {
+		return r.Path
+	}
+	return r.Path + "?" + r.Query
+}
+
 // Result is the sealed set of what a caller is told: Relayed, NotRun, InProgress, Unknown and Invalid.
 type Result interface{ result() }
 
--- a/lib/bfcaller/send.go
+++ b/lib/bfcaller/send.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bilberryflow.org/lib/bfhop"
+	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bfrecord"
 	"bilberryflow.org/lib/bfretry"
 )
@@ -17,6 +18,9 @@
 	for {
 		now := c.entry.parts.Timer.Now()
 		id := c.entry.parts.Minter.Next(now)
+		if length, held := c.held(now); held {
+			return worse(NotRun{ID: id, Reason: bfrecord.ReasonQuarantined, RetryAfter: length}, last)
+		}
 		chooser, target, member, found := c.pick(now)
 		if !found {
 			return worse(NotRun{ID: id, Reason: reasonNoTarget, RetryAfter: later(noTargetPause)}, last)
@@ -39,6 +43,17 @@
 	}
 }
 
+// held reports whether the fleet holds the request, and for how long.
+func (c *call) held(now time.Time) (length time.Duration, held bool) {
+	view := c.entry.parts.Quarantine.View()
+	if !view.Holds() {
+		return 0, false
+	}
+	asked := bfhop.Asked(c.request.Method, c.request.target(), c.request.Tenant, c.request.Body)
+	verdict, held := view.Refuse(bfquarantine.KeyOf(asked), now)
+	return verdict.Until().Sub(now), held
+}
+
 // worse is what a caller is told after two sendings without an answer.
 //
 // Each speaks for itself alone: that the second was not run says nothing of the
--- a/lib/bfcaller/world_test.go
+++ b/lib/bfcaller/world_test.go
@@ -26,6 +26,7 @@
 	"bilberryflow.org/lib/bflog"
 	"bilberryflow.org/lib/bfmetric"
 	"bilberryflow.org/lib/bfpeer"
+	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bfrecord"
 	"bilberryflow.org/lib/bfroster"
 	"bilberryflow.org/lib/bfroute"
@@ -48,6 +49,9 @@
 	http   *http.Client
 	beats  *bfgroup.Group
 	clock  atomic.Uint64
+	// book is what all nodes know of requests under which targets end, as if they told
+	// each other at once.
+	book *bfquarantine.Book
 
 	mu    sync.Mutex
 	nodes []*node
@@ -90,7 +94,7 @@
 )
 
 func newWorld(t testing.TB, protocol bfforward.Protocol, nodes int) *world {
-	w := &world{t: t, protocol: protocol, timer: bftimer.New(1), table: &table{Memory: bfstore.NewMemory()}}
+	w := &world{t: t, protocol: protocol, timer: bftimer.New(1), table: &table{Memory: bfstore.NewMemory()}, book: bfquarantine.New("all")}
 	w.clock.Store(uint64(time.Now().UnixMicro()))
 	w.http = &http.Client{Timeout: 15 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}
 	w.beats = bfgroup.New(context.Background())
@@ -189,6 +193,7 @@
 		Home: n.home, Service: service, ColdStart: func() time.Duration { return 0 },
 		View: w.view.Load, Client: n.clients[1], Minter: minter, Timer: w.timer, Logger: bflog.Discard(),
 		Metrics: n.metrics, Table: w.table, Directory: n.directory, Resolver: resolver, Spawn: n.group.Go, Tell: n.tell,
+		Quarantine: w.book,
 	})
 	for name, method := range n.guard.Methods() {
 		methods[name] = method
@@ -196,6 +201,7 @@
 	n.entry = bfcaller.New(bfcaller.Parts{
 		View: w.view.Load, Directory: n.directory, Client: n.clients[0], Resolver: resolver,
 		Minter: minter, Timer: w.timer, Metrics: n.metrics, Spawn: n.group.Go,
+		Quarantine: w.book,
 	})
 	n.handler = bfcaller.NewHandler(n.entry, 1<<20, 300*time.Millisecond)
 	n.callers = n.serve(n.handler)
--- a/lib/bfcontrol/control.go
+++ b/lib/bfcontrol/control.go
@@ -56,10 +56,19 @@
 	Logger    *bflog.Logger
 	Metrics   *bfmetric.Registry
 	Seed      uint64
+	// Quarantine is compared with that of other members.
+	Quarantine Comparer
 	// Reincarnated is told each further incarnation that this process gets in the membership.
 	Reincarnated func(incarnation uint64)
 }
 
+// Comparer keeps what all members are to know the same; its digest rides on their probes.
+type Comparer interface {
+	Digest() uint64
+	// Saw takes the digest of the member whose peer port is at an address.
+	Saw(address string, digest uint64)
+}
+
 // Control is a node's part in the control plane.
 //
 // Everything but the atomics belongs to the goroutine of the loop.
@@ -202,7 +211,7 @@
 	for _, action := range actions {
 		switch a := action.(type) {
 		case bfmember.Send:
-			data, err := bfgossip.Encode(a.Message)
+			data, err := bfgossip.Encode(bfgossip.WithQuarantine(a.Message, c.parts.Self.Key().Hash, c.parts.Quarantine.Digest()))
 			c.send(a.Address, memberPurpose(a.Message), data, err)
 		case bfmember.Heard:
 			c.heardFrom(now, a)
@@ -251,10 +260,12 @@
 
 // heardFrom keeps what a member advertised; a stranger is not worth the memory.
 func (c *Control) heardFrom(now time.Time, a bfmember.Heard) {
-	if _, member := c.members.Order().RankOf(a.From); !member {
+	rank, member := c.members.Order().RankOf(a.From)
+	if !member {
 		return
 	}
 	c.contact(now)
+	c.parts.Quarantine.Saw(c.members.Order().At(rank).Row().Peer, a.Advert.Quarantine)
 	c.heard[a.From] = heardHead{bfconfig.Version(a.Advert.Version), now}
 }
 
--- a/lib/bfcontrol/hostile_test.go
+++ b/lib/bfcontrol/hostile_test.go
@@ -50,7 +50,7 @@
 		Self: memberRow(0), Profile: Convergence(), Table: memory, Objects: memory,
 		Datagrams: datagrams, Calls: sink{}, Directory: bfdirectory.New("d0"), Timer: bftimer.New(1),
 		Group: bfgroup.New(context.Background()), Logger: bflog.Discard(), Metrics: bfmetric.New(), Seed: 1,
-		Reincarnated: func(uint64) {},
+		Reincarnated: func(uint64) {}, Quarantine: &digests{},
 	})
 	is.New(tb).NoErr(err)
 	return c
--- a/lib/bfcontrol/world_test.go
+++ b/lib/bfcontrol/world_test.go
@@ -63,6 +63,7 @@
 	group   *bfgroup.Group
 	metrics *bfmetric.Registry
 	inbox   chan packet
+	digests digests
 }
 
 type packet struct {
@@ -125,7 +126,7 @@
 		Table: table{n}, Objects: objects{w.store, n}, Datagrams: n, Calls: n,
 		Directory: bfdirectory.New(w.row(id).Domain), Timer: timer, Group: n.group,
 		Logger: bflog.New(&recorder{w, id}, id, slog.LevelInfo), Metrics: n.metrics, Seed: seed,
-		Reincarnated: func(uint64) {},
+		Reincarnated: func(uint64) {}, Quarantine: &n.digests,
 	})
 	w.is.NoErr(err)
 	n.control = control
--- /dev/null
+++ b/lib/bfflight/report.go
@@ -0,0 +1,32 @@
+package bfflight
+
+import (
+	"log/slog"
+	"time"
+
+	"bilberryflow.org/lib/bflog"
+	"bilberryflow.org/lib/bfquarantine"
+)
+
+// loggedRuns bounds the requests that a line names.
+const loggedRuns = 16
+
+// Report logs a crash with what the target ran, and what came of it for the requests that
+// it speaks against.
+func Report(logger *bflog.Logger, crash Crash, view *bfquarantine.View, now time.Time) {
+	runs := make([]string, 0, loggedRuns)
+	for _, run := range crash.Runs[:min(len(crash.Runs), loggedRuns)] {
+		runs = append(runs, run.ID+" "+run.Key.Content.String()+" "+run.Ran.String())
+	}
+	logger.Emit(bflog.TargetCrashed, slog.String("target", crash.Target.Name()), slog.Int("running", len(crash.Runs)), slog.Any("runs", runs))
+	for _, key := range crash.Blamed {
+		content := slog.String("content", key.Content.String())
+		switch verdict := view.Judge(key, now).(type) {
+		case bfquarantine.Held:
+			logger.Emit(bflog.RequestQuarantined, content, slog.Duration("for", verdict.Until().Sub(now)))
+		case bfquarantine.Apart:
+			logger.Emit(bflog.RequestSuspected, content)
+		case bfquarantine.Free:
+		}
+	}
+}
--- a/lib/bfguard/guard.go
+++ b/lib/bfguard/guard.go
@@ -11,10 +11,12 @@
 
 	"bilberryflow.org/lib/bfadmit"
 	"bilberryflow.org/lib/bfdirectory"
+	"bilberryflow.org/lib/bfflight"
 	"bilberryflow.org/lib/bfforward"
 	"bilberryflow.org/lib/bfhop"
 	"bilberryflow.org/lib/bflog"
 	"bilberryflow.org/lib/bfmetric"
+	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bfrecord"
 	"bilberryflow.org/lib/bfroster"
 	"bilberryflow.org/lib/bfroute"
@@ -44,6 +46,10 @@
 	Spawn     func(name string, fn func(ctx context.Context) error)
 	// Tell tells the fleet of a change of the target's state.
 	Tell func(state bfroster.TargetState, slots int)
+	// Quarantine holds the requests under which targets end; nil is an empty one.
+	Quarantine *bfquarantine.Book
+	// Crashed is called after the target's end without a word, nil where nobody asks.
+	Crashed func(bfflight.Crash)
 }
 
 // Guard stands between the mesh and one target.
@@ -52,6 +58,8 @@
 	books  *bfrecord.Sharded
 	target local
 	claims *claims
+	// flights are the requests that the target works on.
+	flights *bfflight.Register
 	// present is what arrivals see of the target, swapped whole by Observe; nil before it has announced itself.
 	present atomic.Pointer[present]
 	// working counts the requests that are with the target or wait for it,
@@ -81,6 +89,9 @@
 
 // New makes the guard of one target.
 func New(parts Parts) *Guard {
+	if parts.Quarantine == nil {
+		parts.Quarantine = bfquarantine.New("")
+	}
 	g := &Guard{
 		parts: parts, books: bfrecord.NewSharded(parts.Home, bfrecord.DefaultLimits(), bookShards),
 		target:  local{service: parts.Service, coldStart: parts.ColdStart},
@@ -90,6 +101,7 @@
 		unknown: parts.Metrics.Counter("guard_outcome_unknown"),
 		skewed:  parts.Metrics.Counter("guard_clock_skew"),
 	}
+	g.flights = g.newFlights()
 	g.homes.Store(&map[uint64]bool{parts.Home.Incarnation: true})
 	parts.Metrics.Gauge("guard_in_flight", g.working.Load)
 	return g
--- a/lib/bfguard/key.go
+++ b/lib/bfguard/key.go
@@ -27,11 +27,11 @@
 // refused for want of room would have to be given back under load, which costs
 // a write for each refusal at the worst moment. The time is bounded, and the
 // breaker keeps a table that hangs from taking every slot.
-func (v *visit) handOverClaimed(ctx context.Context, address string) (end, bfadmit.Outcome) {
+func (v *visit) handOverClaimed(ctx context.Context, target Status) (end, bfadmit.Outcome) {
 	claims, spec := v.guard.claims, v.spec()
 	switch result := claims.claim(ctx, spec).(type) {
 	case bfclaim.Granted:
-		end, outcome := v.handOver(ctx, address)
+		end, outcome := v.handOver(ctx, target)
 		if v.ran == nil {
 			claims.settle(bfclaim.Release(spec))
 			return end, outcome
--- a/lib/bfguard/relay.go
+++ b/lib/bfguard/relay.go
@@ -42,6 +42,7 @@
 		return v.lost(err), bfadmit.Abandoned
 	}
 	answer := bfrecord.NewWholeAnswer(response.StatusCode, response.Header, body.Bytes())
+	v.flight.Answered()
 	v.finish(answer)
 	return ended{answer}, bfadmit.Done
 }
@@ -55,6 +56,11 @@
 	if writeErr == nil {
 		readErr, writeErr = bfhop.Copy(v.w, response.Body)
 	}
+	if readErr != nil {
+		v.noteLoss()
+	} else {
+		v.flight.Answered()
+	}
 	v.finish(bfrecord.NewDroppedAnswer(response.StatusCode))
 	v.cut = readErr != nil || writeErr != nil
 	if readErr != nil {
--- a/lib/bfguard/run.go
+++ b/lib/bfguard/run.go
@@ -31,6 +31,10 @@
 	if present == nil || !present.status.Takes() {
 		return v.abort(bfrecord.ReasonLeaving, comeBack)
 	}
+	if err := g.flights.Check(v.asked()); err != nil {
+		end, _ := v.notBegun(err)
+		return end
+	}
 	if v.needsClaim() {
 		if wait := g.claims.breaker.wait(v.arrived); wait > 0 {
 			return v.abort(bfrecord.ReasonTableAway, wait)
@@ -42,20 +46,20 @@
 	if err != nil {
 		return v.notAdmitted(err)
 	}
-	end, outcome := v.useSlot(present.status.Address)
+	end, outcome := v.useSlot(present.status)
 	if err := slot.Release(outcome); err != nil {
 		g.parts.Logger.Emit(bflog.InvariantBroken, bflog.Err(err))
 	}
 	return end
 }
 
-func (v *visit) useSlot(address string) (end, bfadmit.Outcome) {
+func (v *visit) useSlot(target Status) (end, bfadmit.Outcome) {
 	ctx, cancel := v.context()
 	defer cancel()
 	if v.needsClaim() {
-		return v.handOverClaimed(ctx, address)
+		return v.handOverClaimed(ctx, target)
 	}
-	return v.handOver(ctx, address)
+	return v.handOver(ctx, target)
 }
 
 // admission is the request as the gate sees it: the entry decided on its
@@ -96,7 +100,7 @@
 }
 
 // handOver gives the request to the target once and says what that showed of the target.
-func (v *visit) handOver(ctx context.Context, address string) (end, bfadmit.Outcome) {
+func (v *visit) handOver(ctx context.Context, target Status) (end, bfadmit.Outcome) {
 	g := v.guard
 	now := g.parts.Timer.Now()
 	switch {
@@ -105,11 +109,18 @@
 	case !now.Before(v.deadline):
 		return v.abort(bfrecord.ReasonDeadline, 0), bfadmit.Unused
 	}
+	// Targets may have ended under the request while it waited.
+	flight, err := g.flights.Begin(flown{g, target}, v.meta.ID.String(), v.asked())
+	if err != nil {
+		return v.notBegun(err)
+	}
+	v.flight = flight
+	defer flight.End()
 	header := v.r.Header
 	targetHeader(header, v.meta.Depth)
 	// The time that the request waited here is gone.
 	bfheader.WriteDeadline(header, v.deadline.Sub(now))
-	response, err := g.parts.Client.Send(ctx, address, bfforward.Request{
+	response, err := g.parts.Client.Send(ctx, target.Address, bfforward.Request{
 		Method: v.r.Method, Target: v.r.RequestURI, Header: header, Body: v.body,
 	}, nil)
 	var notSent *bfforward.NotSentError
@@ -145,6 +156,7 @@
 }
 
 func (v *visit) lost(err error) end {
+	v.noteLoss()
 	v.guard.unknown.Add(1)
 	v.guard.parts.Logger.Emit(bflog.OutcomeUnknown, slog.String("request", v.meta.ID.String()), bflog.Err(err))
 	lost := bfrecord.NewLostAnswer(err.Error())
--- a/lib/bfguard/serve.go
+++ b/lib/bfguard/serve.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"bilberryflow.org/lib/bfflight"
 	"bilberryflow.org/lib/bfhop"
 	"bilberryflow.org/lib/bflog"
 	"bilberryflow.org/lib/bfrecord"
@@ -36,6 +37,8 @@
 	content bfrecord.Digest
 	// ran is the end of the run, nil if the request was not handed to the target.
 	ran bfrecord.Answer
+	// flight is the request in the hands of the target, nil before.
+	flight *bfflight.Flight
 	// cut says that part of an answer was handed on and the rest will not come.
 	cut bool
 }
--- a/lib/bfhost/crash_test.go
+++ b/lib/bfhost/crash_test.go
@@ -3,29 +3,38 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"bilberryflow.org/lib/bfflight"
 )
 
 // crashes keeps what a host tells of its target's ends.
 type crashes struct {
 	mu  sync.Mutex
-	all []Crash
+	all []bfflight.Crash
 }
 
-func (c *crashes) add(crash Crash) {
+func (c *crashes) add(crash bfflight.Crash) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.all = append(c.all, crash)
 }
 
-func (c *crashes) take() []Crash {
+func (c *crashes) take() []bfflight.Crash {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.all
 }
 
+// onCrash has fn called at the end of the target.
+func (r *rig) onCrash(fn func(bfflight.Crash)) {
+	r.host.parts.Crashed = fn
+	r.host.flights = r.host.newFlights()
+}
+
 // end ends the target's process as far as its node can see.
 func (r *rig) end() {
 	r.target.Listener.Close()
@@ -40,7 +49,7 @@
 		time.Sleep(time.Second)
 	})
 	var seen crashes
-	r.host.parts.Crashed = seen.add
+	r.onCrash(seen.add)
 	r.beat("a", 1, Ready)
 	ends := make(chan string, 2)
 	for _, id := range []string{"1", "2"} {
@@ -54,7 +63,7 @@
 	r.Equal(<-ends, "lost")
 	r.Equal(len(seen.take()), 1)
 	crash := seen.take()[0]
-	r.Equal(crash.Target.Incarnation(), "a")
+	r.Equal(strings.Fields(crash.Target.Name())[1], "a")
 	r.Equal(len(crash.Runs), 2)
 	r.Equal(crash.Runs[0].ID, "2") // the newest comes first
 	r.True(crash.Runs[0].Key.Content != crash.Runs[1].Key.Content)
@@ -64,7 +73,7 @@
 func TestLostAnswerIsNoCrash(t *testing.T) {
 	r := newRig(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
 	var seen crashes
-	r.host.parts.Crashed = seen.add
+	r.onCrash(seen.add)
 	r.beat("a", 1, Ready)
 	r.Equal(r.run(job("1")), "lost")
 	r.Equal(len(seen.take()), 0)
@@ -78,7 +87,7 @@
 		time.Sleep(time.Second)
 	})
 	var seen crashes
-	r.host.parts.Crashed = seen.add
+	r.onCrash(seen.add)
 	r.beat("a", 1, Ready)
 	end := make(chan string, 1)
 	r.group.Go("run", func(context.Context) error { end <- r.run(job("1")); return nil })
--- a/lib/bfhost/flight.go
+++ b/lib/bfhost/flight.go
@@ -1,24 +1,68 @@
 package bfhost
 
 import (
+	"errors"
 	"time"
 
-	"bilberryflow.org/lib/bfbudget"
+	"bilberryflow.org/lib/bfexchange"
+	"bilberryflow.org/lib/bfflight"
 	"bilberryflow.org/lib/bfquarantine"
 )
 
-// flight is one request that the target works on.
-type flight struct {
-	run    *bfbudget.Run
-	target *Target
-	id     string
-	began  time.Time
-	asked  bfquarantine.Request
+// Asked is what a request asks for; callerHeader names on whose behalf.
+func Asked(r *bfexchange.Request, callerHeader string) bfquarantine.Request {
+	caller := ""
+	if named := r.Header[callerHeader]; len(named) > 0 {
+		caller = named[0]
+	}
+	return bfquarantine.Request{Method: r.Method, Host: r.Host, Target: r.Target, Caller: caller, Body: r.Head, Length: r.Length}
+}
+
+func (h *Host) asked(job Job) bfquarantine.Request {
+	return Asked(job.Request, h.parts.Names.CallerService)
+}
+
+// newFlights makes the register of what the target works on.
+func (h *Host) newFlights() *bfflight.Register {
+	return bfflight.New(bfflight.Options{
+		Book: h.parts.Quarantine, Now: h.parts.Timer.Now, Crashed: h.parts.Crashed,
+		// A connection that opens is kept for the next request: the lost one has cost its own.
+		Dial: h.parts.Client.Warm,
+	})
+}
+
+// flown is a target as the register of flights knows it.
+type flown struct {
+	host *Host
+	*Target
+}
+
+// Name tells the start from every other one.
+func (f flown) Name() string {
+	return f.Address() + " " + f.Incarnation() + " " + f.Started().Format(time.RFC3339Nano)
+}
+
+// Fate is what was heard of the target.
+func (f flown) Fate() bfflight.Fate {
+	f.host.mu.Lock()
+	defer f.host.mu.Unlock()
+	current := f.host.book.current
+	same := current != nil && current.isStart(f.heartbeat)
+	switch {
+	case f.host.book.hasLeft(f.heartbeat), same && !current.takes:
+		return bfflight.Left
+	case current != nil && !same:
+		return bfflight.Succeeded
+	}
+	return bfflight.Present
 }
 
-func (h *Host) newFlight(job Job, run *bfbudget.Run, target *Target) *flight {
-	return &flight{
-		run: run, target: target, id: job.Request.ID, began: h.parts.Timer.Now(),
-		asked: Asked(job.Request, h.parts.Names.CallerService),
+// notBegun is the refusal of a request that the register did not take.
+func notBegun(err error) Result {
+	var held *bfflight.HeldError
+	if errors.As(err, &held) {
+		return Refused{Reason: Quarantined, RetryAfter: held.For}
 	}
+	// Another target may run it apart.
+	return Refused{Reason: Full}
 }
--- a/lib/bfhost/heartbeat.go
+++ b/lib/bfhost/heartbeat.go
@@ -68,11 +68,6 @@
 // Incarnation is the name that the target gave itself.
 func (t *Target) Incarnation() string { return t.heartbeat.Incarnation }
 
-// name tells the target from every other start at every address.
-func (t *Target) name() string {
-	return t.Address() + " " + t.Incarnation() + " " + t.Started().Format(time.RFC3339Nano)
-}
-
 // Address is where the target takes requests.
 func (t *Target) Address() string { return t.heartbeat.Address }
 
--- a/lib/bfhost/host.go
+++ b/lib/bfhost/host.go
@@ -10,10 +10,9 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/singleflight"
-
 	"bilberryflow.org/lib/bfbudget"
 	"bilberryflow.org/lib/bfexchange"
+	"bilberryflow.org/lib/bfflight"
 	"bilberryflow.org/lib/bfheader"
 	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bfslot"
@@ -33,7 +32,7 @@
 	// Quarantine holds the requests under which targets end; nil is an empty one.
 	Quarantine *bfquarantine.Book
 	// Crashed is called after the target's end without a word, nil where nobody asks.
-	Crashed func(Crash)
+	Crashed func(bfflight.Crash)
 }
 
 // Host is the node's side towards its target.
@@ -49,14 +48,9 @@
 	// whose answers are on their way.
 	running atomic.Int64
 	failing failing
-	// runs holds a flight for the ID of each request that the target works on.
-	runs sync.Map
-	// probes has one of those who lost a request at a target find out for all whether it
-	// has ended; lastCrash, guarded by mu, is the target that did so last.
-	probes    singleflight.Group
-	lastCrash string
-	// apart says that the target works on a request that has to run apart from others.
-	apart atomic.Bool
+	// runs holds a bfbudget.Run for the ID of each request that the target works on.
+	runs    sync.Map
+	flights *bfflight.Register
 }
 
 // New makes a host that has not heard of its target.
@@ -64,11 +58,13 @@
 	if parts.Quarantine == nil {
 		parts.Quarantine = bfquarantine.New("")
 	}
-	return &Host{
+	h := &Host{
 		parts: parts,
 		gate:  bfslot.New(parts.Timer),
 		book:  book{service: parts.Service},
 	}
+	h.flights = h.newFlights()
+	return h
 }
 
 // Heard takes a heartbeat of the target.
@@ -151,8 +147,9 @@
 	if _, refused := h.usable(job.Policy.Service); refused != nil {
 		return refused
 	}
-	if _, refused := h.judge(job.Request); refused != nil {
-		return refused
+	asked := h.asked(job)
+	if err := h.flights.Check(asked); err != nil {
+		return notBegun(err)
 	}
 	came := h.parts.Timer.Now()
 	slot, err := h.gate.Acquire(ctx, bfslot.Request{
@@ -171,29 +168,28 @@
 		slot.Release()
 		return refused
 	}
-	// A target may have ended under it while it waited.
-	apart, refused := h.setApart(job.Request)
-	if refused != nil {
+	// Targets may have ended under the request while it waited.
+	flight, err := h.flights.Begin(flown{h, target}, job.Request.ID, asked)
+	if err != nil {
 		slot.Release()
-		return refused
+		return notBegun(err)
 	}
 	run, borne := h.parts.Account.Begin(job.Policy.Class, job.Policy.origin())
 	if !borne {
-		apart()
+		flight.End()
 		slot.Release()
 		return Refused{Reason: Unborne}
 	}
-	f := h.newFlight(job, run, target)
-	h.begin(f)
-	end := h.hand(ctx, job, f, func() {
-		h.end(f)
-		apart()
+	h.begin(job, run)
+	end := h.hand(ctx, job, handed{target, flight}, func() {
+		h.end(job, run)
+		flight.End()
 		slot.Release()
 	})
 	h.failing.judge(end)
-	h.clear(f, end)
 	if answered, ok := end.(Answered); ok {
-		answered.Answer.Spent = Spent{Wait: f.began.Sub(came), Run: h.parts.Timer.Now().Sub(f.began)}
+		flight.Answered()
+		answered.Answer.Spent = Spent{Wait: flight.Began().Sub(came), Run: h.parts.Timer.Now().Sub(flight.Began())}
 	}
 	return end
 }
@@ -212,26 +208,32 @@
 	if !ok {
 		return nil
 	}
-	return found.(*flight).run
+	return found.(*bfbudget.Run)
 }
 
-func (h *Host) begin(f *flight) {
+func (h *Host) begin(job Job, run *bfbudget.Run) {
 	h.running.Add(1)
-	h.runs.Store(f.id, f)
+	h.runs.Store(job.Request.ID, run)
 }
 
-func (h *Host) end(f *flight) {
-	h.runs.Delete(f.id)
-	f.run.End()
+func (h *Host) end(job Job, run *bfbudget.Run) {
+	h.runs.Delete(job.Request.ID)
+	run.End()
 	h.running.Add(-1)
 }
 
+// handed is a request in the hands of a target.
+type handed struct {
+	target *Target
+	flight *bfflight.Flight
+}
+
 // answerMargin is how long after its deadline a target's answer is waited for:
 // at the deadline the target answers on its own, and that answer is on its way.
 const answerMargin = 100 * time.Millisecond
 
 // hand sends the job to the target; done is called when the target works on it no more.
-func (h *Host) hand(ctx context.Context, job Job, f *flight, done func()) Result {
+func (h *Host) hand(ctx context.Context, job Job, to handed, done func()) Result {
 	left := job.Deadline.Sub(h.parts.Timer.Now())
 	if left <= 0 {
 		done()
@@ -249,8 +251,8 @@
 	}
 	header := job.Request.Header
 	header[h.parts.Names.Deadline] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
-	header[h.parts.Names.ExpectTarget] = []string{f.target.Incarnation()}
-	answer, err := h.parts.Client.Send(ctx, f.target.Address(), job.Request)
+	header[h.parts.Names.ExpectTarget] = []string{to.target.Incarnation()}
+	answer, err := h.parts.Client.Send(ctx, to.target.Address(), job.Request)
 	var notSent *bfexchange.NotSentError
 	switch {
 	case errors.As(err, &notSent):
@@ -262,27 +264,27 @@
 		return Refused{Reason: Unreached, Err: err}
 	case err != nil:
 		defer finish()
-		return h.lost(ctx, err, job, f)
+		return h.lost(ctx, err, job, to)
 	}
-	return h.take(ctx, answer, f, finish, job)
+	return h.take(ctx, answer, to, finish, job)
 }
 
-func (h *Host) lost(ctx context.Context, err error, job Job, f *flight) Result {
+func (h *Host) lost(ctx context.Context, err error, job Job, to handed) Result {
 	if !h.parts.Timer.Now().Before(job.Deadline) {
 		return Expired{Sent: true}
 	}
-	h.noteLoss(ctx, f)
+	to.flight.Lost(ctx)
 	return Lost{Reason: err.Error()}
 }
 
 // take reads the answer, or the target's word that it did not run the request.
-func (h *Host) take(ctx context.Context, from *bfexchange.Answer, f *flight, finish func(), job Job) Result {
+func (h *Host) take(ctx context.Context, from *bfexchange.Answer, to handed, finish func(), job Job) Result {
 	if from.Status() == http.StatusMisdirectedRequest {
 		// Another incarnation has the address; nothing runs until it is heard of.
 		from.Close()
 		finish()
 		now := h.parts.Timer.Now()
-		h.change(func(b *book) bool { return b.replaced(f.target.Incarnation(), now) })
+		h.change(func(b *book) bool { return b.replaced(to.target.Incarnation(), now) })
 		return Refused{Reason: NoTarget}
 	}
 	if from.Header().Get(h.parts.Names.NotRun) != "" {
@@ -294,7 +296,7 @@
 	answer, err := ReadAnswer(from, HoldAtTarget, finish)
 	if err != nil {
 		defer finish()
-		return h.lost(ctx, err, job, f)
+		return h.lost(ctx, err, job, to)
 	}
 	return Answered{answer}
 }
--- a/lib/bfrecord/message.go
+++ b/lib/bfrecord/message.go
@@ -21,6 +21,8 @@
 	ReasonCanceled    Reason = "canceled"
 	ReasonTableAway   Reason = "table away"
 	ReasonUnreachable Reason = "unreachable"
+	// ReasonQuarantined means that several targets have ended under the request.
+	ReasonQuarantined Reason = "quarantined"
 )
 
 // Refusal is the home's answer to an arrival that it did not run.
