A target that is back after its end is believed at once

What callers saw: after a target's end its node refused all work for it for three seconds, though the next start had been there for two of them.

Cause: another incarnation at the address is taken for a late word of one that is gone until the one believed has been silent for three seconds. Since the node knows now that a target has ended, the next need not wait; a late word of a start that ended is still not believed, and one that speaks again lives.

Evidence: 4104 of n0 came at 48:00.898, 3.0 s after the last word of the start that ended at 47:58.146; the next start was there 0.7 to 1.4 s after that.

--- a/lib/bfhost/crash_test.go
+++ b/lib/bfhost/crash_test.go
@@ -97,3 +97,23 @@
 	r.Equal(<-end, "lost")
 	r.Equal(len(seen.take()), 0)
 }
+
+// Guards against a target that is back a second after its end getting no work until the
+// one before it has been silent for three.
+func TestTargetThatIsBackIsBelievedAtOnce(t *testing.T) {
+	r := newRig(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	r.beat("a", 1, Ready)
+	r.beat("b", 1, Ready)
+	r.Equal(r.host.Target().Incarnation(), "a") // b may be a late word of one that is gone
+	r.host.crashed(bfflight.Crash{Target: flown{r.host, r.host.Target()}})
+	r.beat("b", 2, Ready)
+	r.Equal(r.host.Target().Incarnation(), "b")
+	r.beat("a", 1, Ready)
+	r.Equal(r.host.Target().Incarnation(), "b")
+	r.host.crashed(bfflight.Crash{Target: flown{r.host, r.host.Target()}})
+	r.beat("a", 1, Ready) // a late word of a start that ended before
+	r.Equal(r.host.Target().Incarnation(), "b")
+	r.beat("b", 3, Ready) // it lives, so a third one has to wait
+	r.beat("c", 1, Ready)
+	r.Equal(r.host.Target().Incarnation(), "b")
+}
--- a/lib/bfhost/flight.go
+++ b/lib/bfhost/flight.go
@@ -25,12 +25,22 @@
 // newFlights makes the register of what the target works on.
 func (h *Host) newFlights() *bfflight.Register {
 	return bfflight.New(bfflight.Options{
-		Book: h.parts.Quarantine, Now: h.parts.Timer.Now, Crashed: h.parts.Crashed,
+		Book: h.parts.Quarantine, Now: h.parts.Timer.Now, Crashed: h.crashed,
 		// A connection that opens is kept for the next request: the lost one has cost its own.
 		Dial: h.parts.Client.Warm,
 	})
 }
 
+// crashed takes the end of the target.
+func (h *Host) crashed(crash bfflight.Crash) {
+	h.mu.Lock()
+	h.book.crash(crash.Target.(flown).heartbeat)
+	h.mu.Unlock()
+	if h.parts.Crashed != nil {
+		h.parts.Crashed(crash)
+	}
+}
+
 // flown is a target as the register of flights knows it.
 type flown struct {
 	host *Host
--- a/lib/bfhost/heartbeat.go
+++ b/lib/bfhost/heartbeat.go
@@ -97,6 +97,8 @@
 	current *Target
 	// departed holds the starts that left, oldest first.
 	departed []Departure
+	// crashed holds the starts that ended without a word, oldest first.
+	crashed []Heartbeat
 	// spoken says that a target has spoken to this node since it started.
 	spoken bool
 }
@@ -147,7 +149,23 @@
 		return h.Started.After(b.current.heartbeat.Started)
 	}
 	// Two incarnations speak at one address. The newer one goes on speaking.
-	return !b.current.takes || now.Sub(b.current.heard) >= succession
+	return !b.current.takes || b.hasCrashed(b.current.heartbeat) && !b.hasCrashed(h) || now.Sub(b.current.heard) >= succession
+}
+
+// crash takes the end of a start that had not said that it leaves: the next one need not
+// wait until it has been silent for long. Its own word, if it comes, goes before that.
+func (b *book) crash(h Heartbeat) {
+	if len(b.crashed) == maxDeparted {
+		b.crashed = b.crashed[1:]
+	}
+	b.crashed = append(b.crashed, h)
+}
+
+// hasCrashed reports whether the start of a heartbeat ended, and was not heard later than that.
+func (b *book) hasCrashed(h Heartbeat) bool {
+	return slices.ContainsFunc(b.crashed, func(c Heartbeat) bool {
+		return c.Incarnation == h.Incarnation && c.Started.Equal(h.Started) && h.Sequence <= c.Sequence
+	})
 }
 
 // succession is how long a target must have been silent before another
