A copy of what is held outlives the nodes

What callers would see: after all nodes were started anew, as after a loss of power, a request that the fleet held ends three targets again.

Cause: what is known of it lay in the nodes' memory alone. The first of the fleet's sources now keeps a copy in one row of the platform's store: written when what is held changes, read once by whoever comes to keep it, followed when a request is cleared. Nothing is called while nothing is held.

In the drawn mix one such request comes at a time: four of them on five targets leave half of the capacity, whatever the nodes do.

--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-kratos/kratos/v2/transport"
 
+	"bilberryflow.org/lib/bfbackup"
 	"bilberryflow.org/lib/bfbatch"
 	"bilberryflow.org/lib/bfbudget"
 	"bilberryflow.org/lib/bfentry"
@@ -65,6 +66,7 @@
 	news     *bfnews.Exchange
 	book     *bfquarantine.Book
 	rumor    *bfrumor.Exchange
+	backup   *bfbackup.Backup
 	peers    net.Listener
 	callers  *bfpipeline.Server
 	ready    readiness
@@ -209,10 +211,7 @@
 func (n *node) talkToNodes() {
 	methods := bfpeer.Methods{}
 	n.calls = bfpeer.NewCalls(methods, bfpeer.NewTraffic(n.metrics), n.group)
-	n.rumor = bfrumor.New(bfrumor.Parts{
-		Self: n.common.Peer, Book: n.book, Calls: n.calls, Timer: n.timer, Spawn: n.group.Go,
-		Audience: func(own bool) []string { return n.news.Audience(own) },
-	})
+	n.shareQuarantine()
 	n.news = bfnews.New(bfnews.Parts{
 		Self: n.common.Peer, Place: place(n.common, n.settings), First: n.settings.FirstStart, State: n.state,
 		Fleet: n.fleet, Calls: n.calls, Timer: n.timer, Logger: n.logger, Spawn: n.group.Go, Also: n.rumor,
@@ -358,6 +357,7 @@
 	n.group.Go("presence", n.presence.Run)
 	n.group.Go("news", n.news.Run)
 	n.group.Go("rumor", n.rumor.Run)
+	n.group.Go("backup", n.backup.Run)
 	n.timer.Every(func() time.Duration { return sweepInterval }, n.sweep)
 	return n.group.Wait()
 }
--- a/bftrial/internal/bfcommand/command.go
+++ b/bftrial/internal/bfcommand/command.go
@@ -41,6 +41,7 @@
 	service   time.Duration
 	seed      int
 	runs      int
+	only      string
 	fleet     int
 	domains   int
 	targets   int
@@ -86,6 +87,7 @@
 	soak.Int(&a.runs, "r", "runs", "How many seeds, one after another.")
 	soak.Int(&a.seconds, "t", "seconds", "How long faults are injected.")
 	soak.Int(&a.fleet, "n", "nodes", "Nodes of the fleet.")
+	soak.String(&a.only, "o", "only", "Name of the scenario that is played in place of faults that are drawn.")
 	replay := flaggy.NewSubcommand("replay")
 	replay.Description = "Replays a load through the decisions in simulated time, each way of deciding on the same callers."
 	replay.Int(&a.seed, "e", "seed", "Seed of the callers.")
@@ -145,7 +147,7 @@
 		var log bytes.Buffer
 		violations, err := bfsoak.Run(bfsoak.Options{
 			Binaries: a.binaries, Seed: uint64(seed), Nodes: a.fleet, Callers: 4 * a.fleet,
-			Faults: time.Duration(a.seconds) * time.Second,
+			Faults: time.Duration(a.seconds) * time.Second, Only: a.only,
 		}, &log)
 		if err != nil || len(violations) > 0 {
 			fmt.Fprint(out, log.String())
--- a/bftrial/internal/bfsoak/soak_test.go
+++ b/bftrial/internal/bfsoak/soak_test.go
@@ -38,6 +38,11 @@
 	soak(t, Options{Binaries: build(t), Seed: 1, Nodes: 6, Callers: 12, Faults: 3 * time.Second, Only: crashingRequest})
 }
 
+// Guards against a fleet whose nodes were all started anew having forgotten such a request.
+func TestHeldRequestOutlivesTheNodes(t *testing.T) {
+	soak(t, Options{Binaries: build(t), Seed: 1, Nodes: 6, Callers: 12, Faults: 3 * time.Second, Only: fleetKilled})
+}
+
 // build builds the programs that a soak runs.
 func build(t *testing.T) string {
 	t.Helper()
--- a/bftrial/internal/bfsoak/world.go
+++ b/bftrial/internal/bfsoak/world.go
@@ -25,8 +25,7 @@
 	Callers  int
 	// Faults is how long faults are injected; the run ends some seconds after.
 	Faults time.Duration
-	// Only names the one fault that is injected, once and for that long; empty draws
-	// from all.
+	// Only names the scenario that is played in place of faults that are drawn.
 	Only string
 }
 
@@ -55,9 +54,25 @@
 func (n *nodeSlot) harmed(planned bool, fault func()) {
 	began := time.Now()
 	fault()
+	n.mark(harm{began, time.Now(), planned})
+}
+
+func (n *nodeSlot) mark(h harm) {
+	n.harmMu.Lock()
+	defer n.harmMu.Unlock()
+	n.harms = append(n.harms, h)
+}
+
+// wasHarmed reports whether any fault met the node between two moments.
+func (n *nodeSlot) wasHarmed(from, to time.Time) bool {
 	n.harmMu.Lock()
 	defer n.harmMu.Unlock()
-	n.harms = append(n.harms, harm{began, time.Now(), planned})
+	for _, h := range n.harms {
+		if from.Before(h.to) && to.After(h.from) {
+			return true
+		}
+	}
+	return false
 }
 
 // settleTime is how long after a fault its traces may last.
@@ -85,6 +100,8 @@
 	nodes   []*nodeSlot
 	ledger  *ledger
 	record  record
+	// crashing is held while a request comes under which targets end.
+	crashing sync.Mutex
 
 	mu      sync.Mutex
 	version bftraffic.Version
--- a/lib/bflog/events.go
+++ b/lib/bflog/events.go
@@ -64,6 +64,8 @@
 	TargetCrashed      = declare(4107, slog.LevelWarn, "target ended while it ran requests", "Look for a request that ran at several ends: the same content stands in the lines of all of them.")
 	RequestSuspected   = declare(4108, slog.LevelInfo, "targets ended under a request, it runs apart", "Nothing yet; its answer clears it, the next end of a target has it held.")
 	RequestQuarantined = declare(4109, slog.LevelWarn, "targets ended under a request, it is held", "Find the request by its content in the lines 4107 and mend the target; it is refused until then, and tried again after the time given.")
+	BackupRead         = declare(4110, slog.LevelInfo, "requests held before the fleet's start are held again", "Nothing.")
+	BackupError        = declare(4111, slog.LevelWarn, "copy of the held requests not read or written", "It is tried again; a fleet that is started anew meanwhile forgets them.")
 )
 
 // Events of the store that the platform keeps.
--- a/lib/bfnews/tell.go
+++ b/lib/bfnews/tell.go
@@ -230,6 +230,12 @@
 	}
 }
 
+// IsFirstSource reports whether this node is the first of those that read the store for all.
+func (e *Exchange) IsFirstSource() bool {
+	p := e.plan()
+	return len(p.relays) > 0 && p.relays[0].Inbound == e.place.Inbound
+}
+
 // Audience are the peers that hear first of what this node learned, itself or from another.
 func (e *Exchange) Audience(own bool) (peers []string) {
 	for _, m := range e.plan().audience(e.place.Inbound, own) {
--- a/lib/bfquarantine/book.go
+++ b/lib/bfquarantine/book.go
@@ -156,6 +156,14 @@
 	return all
 }
 
+// Held gives what is known of requests that may be Held, those with the newest ends first.
+func (b *Book) Held(now time.Time) []Record {
+	held := b.Records(now)
+	held = slices.DeleteFunc(held, func(r Record) bool { return b.View().records[Content(r.Content)].most < crashLimit })
+	slices.SortStableFunc(held, func(x, y Record) int { return cmp.Compare(x.AgeMilli, y.AgeMilli) })
+	return held
+}
+
 // Sweep forgets what matters no more.
 func (b *Book) Sweep(now time.Time) {
 	if b.view.Load().Len() == 0 {
--- a/lib/bfquarantine/view.go
+++ b/lib/bfquarantine/view.go
@@ -11,17 +11,21 @@
 	self    uint64
 	records map[Content]record
 	digest  uint64
-	// watches and holds say that there is a record with one end less than crashLimit, and
-	// with as many.
-	watches, holds bool
+	// watches says that there is a record with one end less than crashLimit, held is the
+	// digest of those with as many, 0 where there is none.
+	watches bool
+	held    uint64
 }
 
 func newView(self uint64, records map[Content]record) *View {
 	v := &View{self: self, records: records}
 	for content, r := range records {
-		v.digest ^= mix(r.digest ^ binary.BigEndian.Uint64(content[:]))
+		digest := mix(r.digest ^ binary.BigEndian.Uint64(content[:]))
+		v.digest ^= digest
 		v.watches = v.watches || r.most >= crashLimit-1
-		v.holds = v.holds || r.most >= crashLimit
+		if r.most >= crashLimit {
+			v.held ^= digest
+		}
 	}
 	return v
 }
@@ -30,7 +34,10 @@
 func (v *View) Watches() bool { return v.watches }
 
 // Holds reports whether any request may be Held.
-func (v *View) Holds() bool { return v.holds }
+func (v *View) Holds() bool { return v.held != 0 }
+
+// HeldDigest identifies the requests that may be Held, 0 where there is none.
+func (v *View) HeldDigest() uint64 { return v.held }
 
 // Digest identifies what is held, 0 where nothing is. Nodes with the same one know the same.
 func (v *View) Digest() uint64 { return v.digest }
--- a/lib/bfrumor/exchange.go
+++ b/lib/bfrumor/exchange.go
@@ -163,9 +163,15 @@
 	if err := bfcodec.Unmarshal(data, "records of crashes", &records); err != nil {
 		return err
 	}
+	e.Take(records)
+	return nil
+}
+
+// Take merges records, and has others hear of what is new here.
+func (e *Exchange) Take(records []bfquarantine.Record) {
 	learned := e.parts.Book.Merge(records, e.parts.Timer.Now())
 	if len(learned) == 0 {
-		return nil
+		return
 	}
 	e.mu.Lock()
 	e.heard = append(e.heard, learned...)
@@ -174,7 +180,6 @@
 	case e.wake <- struct{}{}:
 	default:
 	}
-	return nil
 }
 
 // Saw takes the digest that a peer told, and has both compare what they know where it differs.
