Requests that were answered lately are not suspected; whole fleets play it

What callers would see: a request that many make refused for five minutes, since several targets ended at one moment for reasons of their own.

Cause: such a request runs at every target at any moment. Where six end at once it has run at the end of each, that is three within milliseconds, and no run of it is left anywhere to clear it. Its ends are not independent.

Fix: each node remembers in two filters (32 kB) what its targets answered in the last half minute; a request among these is not blamed. Under one that ends targets nothing is ever answered. Weighed against it: to count ends at one moment once, which would let one that comes at all targets at once end three times as many; and short holds with trials, which cost the targets of the trials.

--- a/lib/bfemulator/emulator_test.go
+++ b/lib/bfemulator/emulator_test.go
@@ -28,7 +28,7 @@
 
 // Every caller of every load that is kept has one end, and the same one each time.
 func TestPlaysAreTheSameEachTime(t *testing.T) {
-	for _, name := range []string{"shedding", "crash", "scarce"} {
+	for _, name := range []string{"shedding", "crash", "scarce", "ends-targets", "crashes-of-their-own"} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			l := load(t, name)
--- a/lib/bfemulator/load.go
+++ b/lib/bfemulator/load.go
@@ -17,6 +17,8 @@
 	Services []Service           `json:"services" jsonschema:"minItems=1"`
 	Classes  []Class             `json:"classes" jsonschema:"minItems=1"`
 	Faults   []Fault             `json:"faults,omitempty"`
+	// Restart is how long a target is away that a request has ended.
+	Restart bfsettings.Duration `json:"restart,omitempty" jsonschema:"description=How long a target is away that a request has ended."`
 }
 
 // Repeats bound what all nodes together send again to one service.
@@ -53,6 +55,10 @@
 	Deadline  bfsettings.Duration `json:"deadline"`
 	Retries   int                 `json:"retries,omitempty" jsonschema:"minimum=0,maximum=9,description=How often a caller comes back."`
 	Calls     []Call              `json:"calls,omitempty" jsonschema:"description=What its runs call; all at once."`
+	// Contents is how many different requests there are, 0 where each is another one.
+	Contents int `json:"contents,omitempty" jsonschema:"minimum=0,maximum=1000000,description=How many different requests there are; 0 for as many as callers."`
+	// EndsTargets says that each target ends that has worked on it for Running.
+	EndsTargets bool `json:"endsTargets,omitempty" jsonschema:"description=Whether each target ends that runs it."`
 }
 
 // Call is what the runs of a class call.
--- a/lib/bfemulator/report.go
+++ b/lib/bfemulator/report.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"bilberryflow.org/lib/bfquarantine"
 )
 
 // longestMicro bounds the times that are told apart.
@@ -20,6 +22,8 @@
 	// Callers came; InTime, Late, Refused and Failed of them were answered within their
 	// objective, after it, not run at all, or failed at a target.
 	Callers, InTime, Late, Refused, Failed int
+	// Held is how often one of their requests was refused since targets had ended under it.
+	Held int
 	// Times are those from a caller's first attempt to its answer, in microseconds.
 	Times *hdrhistogram.Histogram
 }
@@ -31,12 +35,14 @@
 	// Asks is how often a target was asked, FarAsks how often one of another domain,
 	// Arrivals how many requests reached a target.
 	Asks, FarAsks, Arrivals int
+	// ends are the times at which each content ended a target, from the start.
+	ends map[bfquarantine.Content][]time.Duration
 	// requests and repeats are counted by service and tick.
 	requests, repeats []map[int]int
 }
 
 func newReport(load Load) *Report {
-	r := &Report{load: load, classes: make([]Outcomes, len(load.Classes))}
+	r := &Report{load: load, classes: make([]Outcomes, len(load.Classes)), ends: map[bfquarantine.Content][]time.Duration{}}
 	for i := range r.classes {
 		r.classes[i].Times = hdrhistogram.New(1, longestMicro, 2)
 	}
@@ -68,6 +74,29 @@
 	r.classes[class].Refused++
 }
 
+// Ends is how many targets were ended by requests.
+func (r *Report) Ends() (sum int) {
+	for _, times := range r.ends {
+		sum += len(times)
+	}
+	return sum
+}
+
+// LateEnds is the largest number of targets that one request ended later than a time after
+// it had ended as many as crashes.
+func (r *Report) LateEnds(crashes int, after time.Duration) (most int) {
+	for _, times := range r.ends {
+		late := 0
+		for _, at := range times[min(crashes, len(times)):] {
+			if at > times[crashes-1]+after {
+				late++
+			}
+		}
+		most = max(most, late)
+	}
+	return most
+}
+
 // Outcomes are those of a class.
 func (r *Report) Outcomes(class string) Outcomes {
 	if at := r.load.class(class); at >= 0 {
--- a/lib/bfemulator/request.go
+++ b/lib/bfemulator/request.go
@@ -2,12 +2,11 @@
 
 import (
 	"errors"
-	"maps"
-	"slices"
 	"time"
 
 	"bilberryflow.org/lib/bfbudget"
 	"bilberryflow.org/lib/bffleet"
+	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bfslot"
 	"bilberryflow.org/lib/bfwalk"
 )
@@ -26,6 +25,7 @@
 type request struct {
 	class   int
 	entry   *node
+	key     bfquarantine.Key
 	running time.Duration
 	// began is when the caller's first attempt came, attempt when this one did.
 	began, attempt, deadline time.Time
@@ -52,11 +52,16 @@
 	// own work. ended says that it has.
 	calls       int
 	done, ended bool
+	// apart says that it runs apart from others under which targets ended.
+	apart bool
 }
 
 // ask has a request go to the next target.
 func (w *world) ask(r *request) {
 	c, e := w.load.Classes[r.class], r.entry
+	if w.holds(r) {
+		return
+	}
 	left := c.Objective.Std() - w.agenda.Now().Sub(r.began)
 	demand := bffleet.Demand{
 		Service: c.Service, Bytes: 1500, Usual: e.usual[r.class], Running: c.Running.Std(), Objective: c.Objective.Std(), Left: left,
@@ -125,8 +130,15 @@
 // hand gives the request to the target of a node.
 func (w *world) hand(r *request, at *bffleet.Target, n *node, way time.Duration) {
 	c := w.load.Classes[r.class]
+	apart, taken := w.takes(r, n)
+	if !taken {
+		w.release(n, c.Name, 0)
+		w.agenda.After(way, func() { w.turnedAway(r, at) })
+		return
+	}
 	opened, borne := n.account.Begin(c.Name, r.origin())
 	if !borne {
+		n.apart = n.apart && !apart
 		w.release(n, c.Name, 0)
 		w.agenda.After(way, func() { w.end(r, at, false) })
 		return
@@ -137,6 +149,7 @@
 	w.report.Arrivals++
 	if w.random.Float64() < w.fault(shed, n) {
 		opened.End()
+		n.apart = n.apart && !apart
 		w.release(n, c.Name, 0)
 		w.agenda.After(way, func() { w.wasShed(r, at) })
 		return
@@ -145,7 +158,7 @@
 	if x := w.fault(slow, n); x > 0 {
 		slowness = x
 	}
-	w.work(&run{Run: opened, request: r, at: at, node: n, way: way}, slowness)
+	w.work(&run{Run: opened, request: r, at: at, node: n, way: way, apart: apart}, slowness)
 }
 
 // work has the target run a request, and make its calls.
@@ -164,6 +177,10 @@
 			w.call(u, w.load.class(call.Class))
 		}
 	}
+	if c.EndsTargets {
+		w.agenda.After(length, func() { w.endTarget(u) })
+		return
+	}
 	w.agenda.After(length, func() {
 		u.done = true
 		w.settle(u)
@@ -196,6 +213,7 @@
 	u.ended = true
 	delete(u.node.running, u.number)
 	u.End()
+	w.finished(u, !failed)
 	w.release(u.node, w.load.Classes[u.request.class].Name, w.agenda.Now().Sub(u.began))
 	w.agenda.After(u.way, func() { w.end(u.request, u.at, !failed) })
 }
@@ -212,13 +230,8 @@
 // crash ends all that the targets run which a fault befalls.
 func (w *world) crash(fault int) {
 	for _, n := range w.nodes {
-		if w.load.service(w.load.Faults[fault].Service) != n.service || !w.befalls(w.load.Faults[fault], n) {
-			continue
-		}
-		for _, number := range slices.Sorted(maps.Keys(n.running)) {
-			u := n.running[number]
-			u.Fail()
-			w.settle(u)
+		if w.load.service(w.load.Faults[fault].Service) == n.service && w.befalls(w.load.Faults[fault], n) {
+			w.lose(n)
 		}
 	}
 }
@@ -347,6 +360,7 @@
 	}
 	w.agenda.After(pause, func() {
 		again := w.newCaller(r.class, r.entry)
+		again.key = r.key
 		again.running, again.began, again.deadline, again.retries = r.running, r.began, r.deadline, r.retries-1
 		w.ask(again)
 	})
--- a/lib/bfemulator/world.go
+++ b/lib/bfemulator/world.go
@@ -9,6 +9,7 @@
 	"bilberryflow.org/lib/bfagenda"
 	"bilberryflow.org/lib/bfbudget"
 	"bilberryflow.org/lib/bffleet"
+	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bfslot"
 	"bilberryflow.org/lib/bfwalk"
 )
@@ -30,8 +31,10 @@
 	// byName finds a node by the inbound address of its member.
 	byName map[string]*node
 	report *Report
-	// runs counts the runs that have begun.
-	runs uint64
+	// runs counts the runs that have begun, callers the requests.
+	runs, callers uint64
+	// crashes counts the ends of targets.
+	crashes uint64
 	// random is drawn from in the order of events, which is the same each time.
 	random *rand.Rand
 }
@@ -53,6 +56,12 @@
 	usual map[int]time.Duration
 	// running are those that the target works on, by their number.
 	running map[uint64]*run
+	// book is what the node knows of requests under which targets end, apart whether its
+	// target runs one that has to run apart; until then the target that one ended is away.
+	book    *bfquarantine.Book
+	answers bfquarantine.Answers
+	apart   bool
+	away    time.Time
 }
 
 // Play plays a load.
@@ -103,6 +112,7 @@
 	n := &node{
 		service: service, speed: s.Speeds[at%len(s.Speeds)], place: domain*s.Targets + at, domain: domain, queue: bfslot.NewQueue(s.Slots),
 		granted: map[*bfslot.Ticket]func(){}, usual: map[int]time.Duration{}, running: map[uint64]*run{},
+		book: bfquarantine.New(fmt.Sprint(service, domain, at)),
 	}
 	n.account = bfbudget.New(bfbudget.Options{
 		Terms: w.load.Repeats.terms(), Nodes: func() int { return len(w.nodes) },
@@ -138,6 +148,9 @@
 
 // down reports whether a node's target has crashed and is not back.
 func (w *world) down(n *node) bool {
+	if w.agenda.Now().Before(n.away) {
+		return true
+	}
 	for _, f := range w.load.Faults {
 		if f.Kind == crash && f.holds(w.passed()) && w.load.service(f.Service) == n.service && w.befalls(f, n) {
 			return true
@@ -175,6 +188,12 @@
 		class: class, entry: entry, running: time.Duration(length), began: w.agenda.Now(), attempt: w.agenda.Now(),
 		deadline: w.agenda.Now().Add(c.Deadline.Std()), retries: c.Retries,
 	}
+	w.callers++
+	content := w.callers
+	if c.Contents > 0 {
+		content = w.random.Uint64N(uint64(c.Contents))
+	}
+	r.key = bfquarantine.KeyOf(bfquarantine.Request{Host: c.Name, Target: fmt.Sprint(content)})
 	w.report.count(w.report.requests, w.load.service(c.Service), w.passed())
 	return r
 }
--- a/lib/bfflight/crash.go
+++ b/lib/bfflight/crash.go
@@ -14,8 +14,10 @@
 // Crash is the end of a target that had not said that it leaves.
 type Crash struct {
 	Target Target
-	// Runs are the requests that it worked on, those that began last first.
-	Runs []Run
+	// Runs are the requests that it worked on, those that began last first, without those
+	// that were answered here lately; Answered is how many these are.
+	Runs     []Run
+	Answered int
 	// Blamed are those of them that the end speaks against.
 	Blamed []bfquarantine.Key
 }
@@ -79,7 +81,12 @@
 	now := r.options.Now()
 	crash := Crash{Target: target}
 	r.flights.Range(func(flight, _ any) bool {
-		if f := flight.(*Flight); f.target.Name() == name {
+		f := flight.(*Flight)
+		switch {
+		case f.target.Name() != name:
+		case r.answers.Has(r.sum(f.asked), now):
+			crash.Answered++
+		default:
 			crash.Runs = append(crash.Runs, Run{ID: f.id, Key: bfquarantine.KeyOf(f.asked), Ran: now.Sub(f.began)})
 		}
 		return true
--- a/lib/bfflight/register.go
+++ b/lib/bfflight/register.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/maphash"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,6 +50,9 @@
 	options Options
 	// flights holds every *Flight that has not ended.
 	flights sync.Map
+	// answers are those of the targets beside the node, known by sums under seed.
+	answers bfquarantine.Answers
+	seed    maphash.Seed
 	// apart says that the target works on a request that has to run apart from others.
 	apart atomic.Bool
 	// probes has one of those who lost a request at a target find out for all whether it
@@ -58,7 +62,9 @@
 }
 
 // New makes the register of a node.
-func New(options Options) *Register { return &Register{options: options} }
+func New(options Options) *Register {
+	return &Register{options: options, seed: maphash.MakeSeed()}
+}
 
 // HeldError reports a request that the fleet holds; it has not run.
 type HeldError struct {
@@ -134,7 +140,23 @@
 
 // Answered takes the target's answer as a proof that the request does not end targets.
 func (f *Flight) Answered() {
-	if book := f.register.options.Book; book.View().Watches() {
-		book.Answered(bfquarantine.KeyOf(f.asked), f.register.options.Now())
+	r, now := f.register, f.register.options.Now()
+	r.answers.Add(r.sum(f.asked), now)
+	if r.options.Book.View().Watches() {
+		r.options.Book.Answered(bfquarantine.KeyOf(f.asked), now)
+	}
+}
+
+// sum identifies a request within the node: it is made for each answer, and costs a
+// fraction of a bfquarantine.Key.
+func (r *Register) sum(asked bfquarantine.Request) uint64 {
+	var h maphash.Hash
+	h.SetSeed(r.seed)
+	for _, part := range []string{asked.Method, asked.Host, asked.Target, asked.Caller} {
+		// A hash never fails to take bytes.
+		_, _ = h.WriteString(part)
+		_ = h.WriteByte(0)
 	}
+	_, _ = h.Write(asked.Body)
+	return h.Sum64()
 }
--- /dev/null
+++ b/lib/bfflight/register_test.go
@@ -0,0 +1,137 @@
+package bfflight
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bilberryflow.org/lib/bfquarantine"
+)
+
+// target is one that ends when it is told to.
+type target struct {
+	name  string
+	ended bool
+	fate  Fate
+}
+
+func (t *target) Name() string    { return t.name }
+func (t *target) Address() string { return t.name }
+func (t *target) Fate() Fate      { return t.fate }
+
+// rig is a register beside some targets.
+type rig struct {
+	*is.I
+	register *Register
+	book     *bfquarantine.Book
+	targets  map[string]*target
+	crashes  []Crash
+	dials    int
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	r := &rig{I: is.New(t), book: bfquarantine.New("n"), targets: map[string]*target{}}
+	r.register = New(Options{Book: r.book, Now: time.Now, Dial: r.dial, Crashed: func(c Crash) { r.crashes = append(r.crashes, c) }})
+	return r
+}
+
+func (r *rig) dial(_ context.Context, address string) error {
+	r.dials++
+	if r.targets[address].ended {
+		return syscall.ECONNREFUSED
+	}
+	return nil
+}
+
+func (r *rig) target(name string) *target {
+	if r.targets[name] == nil {
+		r.targets[name] = &target{name: name}
+	}
+	return r.targets[name]
+}
+
+func (r *rig) begin(at *target, path string) *Flight {
+	f, err := r.register.Begin(at, path, bfquarantine.Request{Target: path})
+	r.NoErr(err)
+	return f
+}
+
+func (r *rig) end(at *target, flights ...*Flight) {
+	at.ended = true
+	for _, f := range flights {
+		f.Lost(context.Background())
+	}
+	for _, f := range flights {
+		f.End()
+	}
+}
+
+// Guards against a request that many make being held, since it ran at several targets that
+// ended at one moment for reasons of their own.
+func TestRequestThatWasAnsweredLatelyIsNotBlamed(t *testing.T) {
+	r := newRig(t)
+	f := r.begin(r.target("t"), "/popular")
+	f.Answered()
+	f.End()
+	for i := range 5 {
+		at := r.target(fmt.Sprint("t", i))
+		r.end(at, r.begin(at, "/popular"), r.begin(at, fmt.Sprint("/once/", i)))
+	}
+	r.True(!r.book.View().Watches())
+	r.Equal(len(r.crashes), 5)
+	r.Equal(r.crashes[0].Answered, 1)
+	r.Equal(len(r.crashes[0].Blamed), 1)
+}
+
+// Guards against the end of a target being told once for each request that it ran, or
+// blaming what another target runs.
+func TestOneEndIsNotedOnce(t *testing.T) {
+	r := newRig(t)
+	a, b := r.target("a"), r.target("b")
+	elsewhere := r.begin(b, "/elsewhere")
+	r.end(a, r.begin(a, "/1"), r.begin(a, "/2"))
+	r.Equal(len(r.crashes), 1)
+	r.Equal(len(r.crashes[0].Runs), 2)
+	r.Equal(r.dials, 1)
+	elsewhere.Lost(context.Background())
+	r.Equal(len(r.crashes), 1) // b is there
+}
+
+// Guards against planned ends, and callers that left, being taken for ends of targets.
+func TestWhatIsNoCrash(t *testing.T) {
+	r := newRig(t)
+	leaving := r.target("leaving")
+	leaving.fate = Left
+	r.end(leaving, r.begin(leaving, "/1"))
+	left, cancel := context.WithCancel(context.Background())
+	cancel()
+	ended := r.target("ended")
+	ended.ended = true
+	r.begin(ended, "/2").Lost(left)
+	r.Equal(len(r.crashes), 0)
+	r.Equal(r.dials, 0)
+	succeeded := r.target("succeeded")
+	succeeded.fate = Succeeded
+	r.begin(succeeded, "/3").Lost(context.Background())
+	r.Equal(len(r.crashes), 1)
+	r.Equal(r.dials, 0) // the next start has its address
+}
+
+func BenchmarkRequestWhileNothingIsKnown(b *testing.B) {
+	register := New(Options{Book: bfquarantine.New("n"), Now: time.Now})
+	at := &target{name: "t"}
+	asked := bfquarantine.Request{Method: "POST", Host: "h.example", Target: "/approve/1", Caller: "portal", Body: make([]byte, 4000)}
+	for b.Loop() {
+		f, err := register.Begin(at, "id", asked)
+		if err != nil {
+			b.Fatal(err)
+		}
+		f.Answered()
+		f.End()
+	}
+}
--- a/lib/bfflight/report.go
+++ b/lib/bfflight/report.go
@@ -18,7 +18,8 @@
 	for _, run := range crash.Runs[:min(len(crash.Runs), loggedRuns)] {
 		runs = append(runs, run.ID+" "+run.Key.Content.String()+" "+run.Ran.String())
 	}
-	logger.Emit(bflog.TargetCrashed, slog.String("target", crash.Target.Name()), slog.Int("running", len(crash.Runs)), slog.Any("runs", runs))
+	logger.Emit(bflog.TargetCrashed, slog.String("target", crash.Target.Name()),
+		slog.Int("running", len(crash.Runs)+crash.Answered), slog.Int("answered_lately", crash.Answered), slog.Any("runs", runs))
 	for _, key := range crash.Blamed {
 		content := slog.String("content", key.Content.String())
 		switch verdict := view.Judge(key, now).(type) {
--- /dev/null
+++ b/lib/bfquarantine/answers_test.go
@@ -0,0 +1,51 @@
+package bfquarantine
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against answers being forgotten at once, remembered for good, or filling the memory.
+func TestAnswersAreRememberedForAWhile(t *testing.T) {
+	is := is.New(t)
+	var a Answers
+	is.True(!a.Has(mix(7), start))
+	a.Add(mix(7), start)
+	is.True(a.Has(mix(7), start))
+	a.Add(mix(8), start.Add(answersFor))
+	is.True(a.Has(mix(7), start.Add(answersFor)))
+	is.True(a.Has(mix(8), start.Add(answersFor)))
+	a.Add(mix(9), start.Add(2*answersFor))
+	is.True(!a.Has(mix(7), start.Add(2*answersFor)))
+	is.True(!a.Has(mix(9), start.Add(10*answersFor)))
+	a.Add(mix(10), start.Add(20*answersFor))
+	is.True(!a.Has(mix(9), start.Add(20*answersFor)))
+}
+
+// Guards against a request that ends targets passing for one that was answered, at any load.
+func TestFewRequestsPassForAnswered(t *testing.T) {
+	is := is.New(t)
+	var a Answers
+	const answers, asked = 20 * mostAnswers, 100_000
+	for i := range uint64(answers) {
+		a.Add(mix(i+1), start)
+	}
+	is.True(a.Has(mix(answers), start))
+	wrong := 0
+	for i := range uint64(asked) {
+		if a.Has(mix(answers+i+1), start) {
+			wrong++
+		}
+	}
+	is.True(wrong < asked/20)
+}
+
+func BenchmarkAddAnAnswer(b *testing.B) {
+	var a Answers
+	sum := uint64(0)
+	for b.Loop() {
+		sum++
+		a.Add(mix(sum), start)
+	}
+}
