--- a/bftarget/internal/bfcommand/command.go
+++ b/bftarget/internal/bfcommand/command.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"log/slog"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/go-kratos/kratos/v2/transport"
@@ -68,6 +69,7 @@
 		ServiceTime: float64(s.ServiceTime.Std()) / float64(time.Millisecond), Spread: s.Spread,
 	}
 	target := bfworkload.New(s.Instance, s.Service, s.Slots, s.ColdStart.Std(), behaviour, ledger)
+	target.OnCrash(func() { os.Exit(exitCrashed) })
 	if s.LogRuns {
 		target.OnRun(func(id, key, mark string) {
 			logger.Emit(bflog.RunStarted, slog.String("request", id), slog.String("key", key), slog.String("mark", mark))
@@ -85,6 +87,9 @@
 	}, nil
 }
 
+// exitCrashed is the exit code of a target that a request has ended.
+const exitCrashed = 70
+
 func routes(target *bfworkload.Target, ledger *bfledger.Ledger) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", target)
--- a/bftarget/internal/bfworkload/target.go
+++ b/bftarget/internal/bfworkload/target.go
@@ -73,6 +73,8 @@
 	// onRun is told of each run before it begins, so that what was run is
 	// known after the process was killed too.
 	onRun func(id, key, mark string)
+	// onCrash ends the process, for a request that asks for that.
+	onCrash func()
 
 	mu      sync.Mutex
 	history []observation
@@ -91,6 +93,10 @@
 // OnRun has fn told of each run before it begins; it must be set before the target serves.
 func (t *Target) OnRun(fn func(id, key, mark string)) { t.onRun = fn }
 
+// OnCrash has fn end the process for a request with the query parameter crash, once it has
+// run for its time; it must be set before the target serves.
+func (t *Target) OnCrash(fn func()) { t.onCrash = fn }
+
 // SetBehaviour changes how the target acts from now on.
 func (t *Target) SetBehaviour(b Behaviour) { t.behaviour.Store(&b) }
 
@@ -135,6 +141,9 @@
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
+	if t.onCrash != nil && r.URL.Query().Has("crash") {
+		t.onCrash()
+	}
 	t.ledger.Record(id, key, func(run *bfledger.Run) { run.Finished++ })
 	writeTiming(w.Header(), time.Since(arrived))
 	t.answer(w, r, id, body, behaviour)
--- a/bftrial/internal/bfproof/world_test.go
+++ b/bftrial/internal/bfproof/world_test.go
@@ -135,10 +135,18 @@
 	return w.sendTo(w.Nodes()[i].Settings().Listen.Caller, method, path, mark, key)
 }
 
+// separator stands between a path, which may have a query, and the mark.
+func separator(path string) string {
+	if strings.HasSuffix(path, "&") {
+		return ""
+	}
+	return "?"
+}
+
 var client = &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
 func (w *world) sendTo(address, method, path, mark, key string) answer {
-	request, err := http.NewRequest(method, "http://"+address+path+"?mark="+mark, strings.NewReader("content of "+mark))
+	request, err := http.NewRequest(method, "http://"+address+path+separator(path)+"mark="+mark, strings.NewReader("content of "+mark))
 	if err != nil {
 		return answer{err: err}
 	}
