Operators see what is held, and release what they have mended

show quarantine lists the requests under which targets ended, with their verdicts; release CONTENT has one run again on every node, on the product's own interface. Where the platform keeps the configuration the operators' port asks for no token, so that it only shows.

--- a/bfctl/internal/bfcommand/pursuit.go
+++ b/bfctl/internal/bfcommand/pursuit.go
@@ -154,8 +154,11 @@
 
 // whereToLook is the command that shows whether this one took effect.
 func (p *pursuit) whereToLook() string {
-	if _, isDrain := p.command.(bfsyntax.Drain); isDrain {
+	switch p.command.(type) {
+	case bfsyntax.Drain:
 		return "show targets"
+	case bfsyntax.Release:
+		return "show quarantine"
 	}
 	return "show staged"
 }
--- a/bfnode/internal/bfcommand/node.go
+++ b/bfnode/internal/bfcommand/node.go
@@ -176,7 +176,7 @@
 func (n *node) newOperator(directory *bfdirectory.Directory) {
 	backend := bfbackend.New(bfbackend.Parts{
 		Control: n.control, Table: n.platform, Objects: n.platform, Directory: directory, Calls: n.calls,
-		Timer: n.timer, Logger: n.logger, SnapshotEvery: bfconfig.Version(n.settings.SnapshotEvery), Spawn: n.group.Go,
+		Quarantine: n.book, Timer: n.timer, Logger: n.logger, SnapshotEvery: bfconfig.Version(n.settings.SnapshotEvery), Spawn: n.group.Go,
 	})
 	n.operator = bfoperator.New(backend, n.settings.Operators)
 }
--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -281,7 +281,7 @@
 func (n *node) inspector() *bfinspect.Backend {
 	return bfinspect.New(bfinspect.Parts{
 		Self: n.common.Inbound, Region: n.common.Region, Traffic: n.traffic, Fleet: n.fleet,
-		Ask: n.news.VersionAt, Refused: n.state.refused.Load, Timer: n.timer,
+		Ask: n.news.VersionAt, Refused: n.state.refused.Load, Quarantine: n.book, Timer: n.timer,
 	})
 }
 
--- a/lib/bfbackend/backend.go
+++ b/lib/bfbackend/backend.go
@@ -10,6 +10,7 @@
 	"bilberryflow.org/lib/bfdirectory"
 	"bilberryflow.org/lib/bflog"
 	"bilberryflow.org/lib/bfpeer"
+	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bfquery"
 	"bilberryflow.org/lib/bfquery/bfsyntax"
 	"bilberryflow.org/lib/bfroster"
@@ -45,6 +46,8 @@
 	Calls     *bfpeer.Calls
 	Timer     *bftimer.Service
 	Logger    *bflog.Logger
+	// Quarantine holds the requests under which targets ended.
+	Quarantine *bfquarantine.Book
 	// SnapshotEvery is how many versions lie between two snapshots in the object store.
 	SnapshotEvery bfconfig.Version
 	// Spawn starts a goroutine of the node's group.
--- a/lib/bfinspect/backend.go
+++ b/lib/bfinspect/backend.go
@@ -7,6 +7,7 @@
 
 	"bilberryflow.org/lib/bfconfig"
 	"bilberryflow.org/lib/bffleet"
+	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bfquery"
 	"bilberryflow.org/lib/bfquery/bfsyntax"
 	"bilberryflow.org/lib/bftimer"
@@ -40,7 +41,9 @@
 	Ask func(ctx context.Context, peer string) (bftraffic.Version, error)
 	// Refused is the newest version if the node refused it, else nil.
 	Refused func() *Refusal
-	Timer   *bftimer.Service
+	// Quarantine holds the requests under which targets ended.
+	Quarantine *bfquarantine.Book
+	Timer      *bftimer.Service
 }
 
 // Backend implements bfquery.Backend without anything that changes something.
@@ -57,7 +60,7 @@
 // Error says where to go.
 func (e *KeptElsewhereError) Error() string {
 	return "this deployment's configuration is kept by the platform: change and read it there; " +
-		"here are in force, watch, explain METHOD //HOST/PATH, show members, show targets and show nodes"
+		"here are in force, watch, explain METHOD //HOST/PATH, show members, show targets, show nodes and show quarantine"
 }
 
 // WrongCommand marks the command as wrong here: sent again it is refused again.
@@ -68,7 +71,7 @@
 	switch c := command.(type) {
 	case bfsyntax.Show:
 		switch c.Table {
-		case bfsyntax.TableMembers, bfsyntax.TableTargets, bfsyntax.TableNodes:
+		case bfsyntax.TableMembers, bfsyntax.TableTargets, bfsyntax.TableNodes, bfsyntax.TableQuarantine:
 			return nil
 		}
 		return &KeptElsewhereError{}
--- a/lib/bfinspect/inspect_test.go
+++ b/lib/bfinspect/inspect_test.go
@@ -12,6 +12,7 @@
 
 	"bilberryflow.org/lib/bffleet"
 	"bilberryflow.org/lib/bfgolden"
+	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bfquery"
 	"bilberryflow.org/lib/bfquery/bfgrammar"
 	"bilberryflow.org/lib/bfquery/bfresult"
@@ -44,7 +45,7 @@
 	}
 	traffic.Adopt(snapshot)
 	return New(Parts{
-		Self: "10.0.0.1:1", Region: "wien", Traffic: traffic, Fleet: fleet, Timer: bftimer.New(1),
+		Self: "10.0.0.1:1", Region: "wien", Traffic: traffic, Fleet: fleet, Timer: bftimer.New(1), Quarantine: bfquarantine.New("n"),
 		Refused: func() *Refusal { return &Refusal{Version: 9, Reason: "route x: service gone"} },
 		Ask: func(_ context.Context, peer string) (bftraffic.Version, error) {
 			if peer == "away" {
@@ -83,7 +84,8 @@
 		"in force everywhere", "in force in domain nord", "in force in domain west", "in force at node portal-2", "in force at node nobody",
 		"show members", "show targets where service = vault", "show nodes where reachable = no",
 		"explain GET //portal.example/sheets/logo", "explain GET //portal.example/other", "explain GET /sheets/logo",
-		"show routes", "show versions", "confirm autumn", "drain portal-1", "history of route sheets",
+		"show routes", "show versions", "confirm autumn", "drain portal-1", "show quarantine",
+		"release 135e03bf6d19a791a015dc102f6fbdfb", "history of route sheets",
 	} {
 		page.WriteString("> " + text + "\n" + carryOut(t, b, text) + "\n")
 	}
--- a/lib/bfinspect/kept.go
+++ b/lib/bfinspect/kept.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"bilberryflow.org/lib/bfconfig"
+	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bfquery"
 )
 
@@ -42,3 +43,9 @@
 
 // Drain is refused: a target says itself that it leaves.
 func (b *Backend) Drain(context.Context, string) error { return &KeptElsewhereError{} }
+
+// Quarantine lists the requests under which targets ended.
+func (b *Backend) Quarantine() []bfquarantine.Item { return b.parts.Quarantine.List(b.Now()) }
+
+// Release is refused: the port asks for no token, and what is held may end targets.
+func (b *Backend) Release(string) error { return &KeptElsewhereError{} }
--- a/lib/bfnews/news.go
+++ b/lib/bfnews/news.go
@@ -67,7 +67,10 @@
 // nothing is the Comparer of a node that has none.
 type nothing struct{}
 
-func (nothing) Digest() uint64     { return 0 }
+// Digest is that of knowing nothing.
+func (nothing) Digest() uint64 { return 0 }
+
+// Saw compares nothing.
 func (nothing) Saw(string, uint64) {}
 
 // question tells what the asking node holds.
--- a/lib/bfquarantine/book_test.go
+++ b/lib/bfquarantine/book_test.go
@@ -267,3 +267,28 @@
 		book.Crashed(CrashOf(fmt.Sprint("b", at)), []Key{key(fmt.Sprint("/b", at), "c")}, start)
 	}
 }
+
+// Guards against an operator who has mended the targets waiting for the end of a verdict.
+func TestReleasedContentRunsEverywhere(t *testing.T) {
+	is := is.New(t)
+	b, other := New("n"), New("m")
+	one, two := key("/bad", "one"), key("/bad", "two")
+	now := crashed(b, two, 2, crashed(b, one, 2, start).Add(time.Second))
+	other.Merge(b.Records(now), now)
+	is.Equal(len(b.List(now)), 1)
+	is.Equal(b.List(now)[0].Ends, 4)
+	is.Equal(b.List(now)[0].Callers, 2)
+	is.Equal(name(b.List(now)[0].Worst), "bfquarantine.Held")
+	content, ok := ParseContent(one.Content.String())
+	is.True(ok)
+	is.True(b.Release(content, now))
+	is.True(!b.Release(content, now))
+	other.Merge(b.TakeNews(now), now)
+	for _, k := range []Key{one, two} {
+		is.Equal(name(b.View().Judge(k, now)), "bfquarantine.Free")
+		is.Equal(name(other.View().Judge(k, now)), "bfquarantine.Free")
+	}
+	is.Equal(len(b.List(now)), 0)
+	_, ok = ParseContent("none")
+	is.True(!ok)
+}
--- a/lib/bfquery/backend.go
+++ b/lib/bfquery/backend.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bilberryflow.org/lib/bfconfig"
+	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bfquery/bfcensus"
 	"bilberryflow.org/lib/bfquery/bfsyntax"
 )
@@ -58,6 +59,10 @@
 	Explain(ctx context.Context, request ExplainRequest) (Explanation, error)
 	// Drain makes a target leave, or fails with a NoInstanceError.
 	Drain(ctx context.Context, instance string) error
+	// Quarantine lists the requests under which targets ended.
+	Quarantine() []bfquarantine.Item
+	// Release has a request run again, or fails with a NoContentError.
+	Release(content string) error
 }
 
 // StageRequest is a change to be staged.
--- a/lib/bfquery/bfgrammar/generate_test.go
+++ b/lib/bfquery/bfgrammar/generate_test.go
@@ -171,6 +171,7 @@
 			func() bfsyntax.Command { return bfsyntax.Undo{Version: version} },
 			func() bfsyntax.Command { return bfsyntax.Undo{Version: version, Name: staged} },
 			func() bfsyntax.Command { return bfsyntax.Drain{Instance: word} },
+			func() bfsyntax.Command { return bfsyntax.Release{Content: word} },
 			func() bfsyntax.Command { return bfsyntax.Watch{Version: version - 1, For: durations.Draw(t, "for")} },
 			func() bfsyntax.Command { return bfsyntax.Watch{} },
 			func() bfsyntax.Command {
--- a/lib/bfquery/bfgrammar/parse.go
+++ b/lib/bfquery/bfgrammar/parse.go
@@ -209,6 +209,8 @@
 		return r.undo(node.Undo)
 	case node.Drain != nil:
 		return bfsyntax.Drain{Instance: r.required(node.Drain)}
+	case node.Release != nil:
+		return bfsyntax.Release{Content: r.required(node.Release)}
 	case node.Watch != nil:
 		return r.watch(node.Watch)
 	}
--- a/lib/bfquery/bfgrammar/syntax.go
+++ b/lib/bfquery/bfgrammar/syntax.go
@@ -75,6 +75,7 @@
 	History *historyNode `parser:"| 'history' 'of' @@"`
 	Undo    *undoNode    `parser:"| 'undo' @@"`
 	Drain   *valueNode   `parser:"| 'drain' @@"`
+	Release *valueNode   `parser:"| 'release' @@"`
 	Watch   *watchNode   `parser:"| 'watch' 'version' @@"`
 	Help    *helpNode    `parser:"| @@"`
 }
--- a/lib/bfquery/bfsyntax/command.go
+++ b/lib/bfquery/bfsyntax/command.go
@@ -8,7 +8,7 @@
 )
 
 // Command is the sealed set of commands: Stage, Show, Diff, Confirm, Discard,
-// InForce, Explain, History, Undo, Drain, Watch and Help.
+// InForce, Explain, History, Undo, Drain, Release, Watch and Help.
 type Command interface {
 	// String is the canonical text: parsing it gives the same command again.
 	String() string
@@ -164,6 +164,9 @@
 // Drain makes a target leave.
 type Drain struct{ Instance string }
 
+// Release has a request run again under which targets ended.
+type Release struct{ Content string }
+
 // UsualWatch is how long a watch lasts that names no time.
 const UsualWatch = 30 * time.Second
 
@@ -188,6 +191,7 @@
 func (History) command() {}
 func (Undo) command()    {}
 func (Drain) command()   {}
+func (Release) command() {}
 func (Watch) command()   {}
 func (Help) command()    {}
 
@@ -206,7 +210,7 @@
 	switch command.(type) {
 	case Stage, Undo, Confirm:
 		return true
-	case Show, Diff, Discard, InForce, Explain, History, Drain, Watch, Help:
+	case Show, Diff, Discard, InForce, Explain, History, Drain, Release, Watch, Help:
 	}
 	return false
 }
@@ -214,7 +218,7 @@
 // Writes reports whether the command changes anything.
 func Writes(command Command) bool {
 	switch command.(type) {
-	case Stage, Undo, Confirm, Discard, Drain:
+	case Stage, Undo, Confirm, Discard, Drain, Release:
 		return true
 	case Show, Diff, InForce, Explain, History, Watch, Help:
 	}
--- a/lib/bfquery/bfsyntax/print.go
+++ b/lib/bfquery/bfsyntax/print.go
@@ -171,6 +171,9 @@
 // String is the canonical text.
 func (c Drain) String() string { return "drain " + quote(c.Instance) }
 
+// String is the canonical text.
+func (c Release) String() string { return "release " + quote(c.Content) }
+
 // String is the canonical text.
 func (c Watch) String() string {
 	text := "watch version latest"
--- a/lib/bfquery/bfsyntax/table.go
+++ b/lib/bfquery/bfsyntax/table.go
@@ -18,13 +18,15 @@
 	TableVersions TableName = "versions"
 	TableNodes    TableName = "nodes"
 	TableStaged   TableName = "staged"
+	// TableQuarantine has the requests under which targets ended.
+	TableQuarantine TableName = "quarantine"
 )
 
 // TableNames lists the tables in the order of the page.
 func TableNames() []TableName {
 	return []TableName{
 		TableEvents, TableServices, TableRoutes, TablePolicies,
-		TableMembers, TableTargets, TableVersions, TableNodes, TableStaged,
+		TableMembers, TableTargets, TableVersions, TableNodes, TableStaged, TableQuarantine,
 	}
 }
 
@@ -68,6 +70,14 @@
 		{Name: "durablekeys", Type: bfresult.TypeFlag},
 		{Name: "revision", Type: bfresult.TypeNumber},
 	},
+	TableQuarantine: {
+		{Name: "content", Type: bfresult.TypeText},
+		{Name: "state", Type: bfresult.TypeText},
+		{Name: "ends", Type: bfresult.TypeNumber},
+		{Name: "callers", Type: bfresult.TypeNumber},
+		{Name: "age", Type: bfresult.TypeDuration},
+		{Name: "left", Type: bfresult.TypeDuration},
+	},
 	TableMembers: {
 		{Name: "instance", Type: bfresult.TypeText},
 		{Name: "service", Type: bfresult.TypeText},
--- a/lib/bfquery/error.go
+++ b/lib/bfquery/error.go
@@ -45,6 +45,14 @@
 	return fmt.Sprintf("instance %s is not a member", e.Instance)
 }
 
+// NoContentError reports a content under which no target ended, as far as is known.
+type NoContentError struct{ Content string }
+
+// Error names the content.
+func (e *NoContentError) Error() string {
+	return fmt.Sprintf("no target ended under a request of content %s; show quarantine lists them", e.Content)
+}
+
 // NotStartedError reports a node whose start still waits for a current version.
 type NotStartedError struct{}
 
@@ -158,7 +166,7 @@
 // isInvalid reports whether the command itself was wrong, so that sending it again is of no use.
 func isInvalid(err error) bool {
 	return isA[wrongCommand](err) || isA[*bfplan.ExistsError](err) || isA[*NotStagedError](err) || isA[*StagedExistsError](err) ||
-		isA[*NoVersionError](err) || isA[*NoInstanceError](err) || isA[*NoMembersError](err) || isA[*ChangedSinceError](err) ||
+		isA[*NoVersionError](err) || isA[*NoInstanceError](err) || isA[*NoContentError](err) || isA[*NoMembersError](err) || isA[*ChangedSinceError](err) ||
 		isA[*HistoryGoneError](err) || isA[*NothingToUndoError](err) || isA[*ChangeIDError](err) ||
 		isA[*bfconfig.FieldError](err) || isA[*bfconfig.DanglingError](err) || isA[*bfconfig.MissingError](err) ||
 		isA[*bfconfig.AmbiguousError](err) || isA[*bfconfig.OverlapError](err) || isA[*bfconfig.EmptyChangeError](err) ||
--- a/lib/bfquery/fake_test.go
+++ b/lib/bfquery/fake_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bilberryflow.org/lib/bfconfig"
+	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bfquery/bfcensus"
 	"bilberryflow.org/lib/bfquery/bfsyntax"
 	"bilberryflow.org/lib/bfstore"
@@ -32,14 +33,21 @@
 	kept    int
 	census  []bfcensus.Census
 	drained []string
+	book    *bfquarantine.Book
 }
 
 func newFakeNode() *fakeNode {
-	return &fakeNode{
+	f := &fakeNode{
 		now:    time.Date(2026, 12, 24, 15, 55, 0, 0, time.UTC),
 		states: []*bfconfig.State{bfconfig.Empty()},
 		staged: map[string]StagedChange{},
+		book:   bfquarantine.New("n"),
 	}
+	for at, name := range []string{"held", "held", "held", "apart", "apart", "noted"} {
+		key := bfquarantine.KeyOf(bfquarantine.Request{Method: "GET", Target: "/" + name, Caller: "agency-7"})
+		f.book.Crashed(bfquarantine.Crash(at), []bfquarantine.Key{key}, f.now.Add(time.Duration(at-10)*time.Second))
+	}
+	return f
 }
 
 func (f *fakeNode) table() error {
@@ -233,6 +241,10 @@
 	}, nil
 }
 
+func (f *fakeNode) Quarantine() []bfquarantine.Item { return f.book.List(f.Now()) }
+
+func (f *fakeNode) Release(content string) error { return ReleaseIn(f.book, content, f.Now()) }
+
 func (f *fakeNode) Drain(_ context.Context, instance string) error {
 	if instance != "portal-core-1" {
 		return &NoInstanceError{Instance: instance}
--- a/lib/bfquery/rows.go
+++ b/lib/bfquery/rows.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bilberryflow.org/lib/bfconfig"
+	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bfquery/bfresult"
 	"bilberryflow.org/lib/bfquery/bfsyntax"
 )
@@ -128,6 +129,20 @@
 	}
 }
 
+func quarantineRow(i bfquarantine.Item, now time.Time) row {
+	state, left := "noted", time.Duration(0)
+	switch verdict := i.Worst.(type) {
+	case bfquarantine.Held:
+		state, left = "held", verdict.Until().Sub(now)
+	case bfquarantine.Apart:
+		state = "apart"
+	}
+	return row{
+		text(i.Content.String()), text(state), number(i.Ends), number(i.Callers),
+		bfresult.DurationCell(now.Sub(i.Last).Truncate(time.Millisecond)), bfresult.DurationCell(left.Truncate(time.Millisecond)),
+	}
+}
+
 func versionRow(v VersionInfo) row {
 	objects := make(bfresult.ListCell, 0, len(v.Objects))
 	for _, ref := range v.Objects {
--- a/lib/bfquery/run.go
+++ b/lib/bfquery/run.go
@@ -57,6 +57,8 @@
 		return r.undo(ctx, command)
 	case bfsyntax.Drain:
 		return r.drain(ctx, command)
+	case bfsyntax.Release:
+		return r.release(command)
 	case bfsyntax.Watch:
 		return r.watch(ctx, command)
 	case bfsyntax.Help:
@@ -132,6 +134,13 @@
 	return r.done("%s is leaving: no new work, work in flight is finished", command.Instance)
 }
 
+func (r *run) release(command bfsyntax.Release) error {
+	if err := r.backend.Release(command.Content); err != nil {
+		return err
+	}
+	return r.done("%s runs again; ends of targets count anew", command.Content)
+}
+
 func (r *run) confirm(ctx context.Context, command bfsyntax.Confirm) error {
 	id := command.ChangeID
 	if id == "" {
--- a/lib/bfquery/show.go
+++ b/lib/bfquery/show.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 
+	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bfquery/bfresult"
 	"bilberryflow.org/lib/bfquery/bfsyntax"
 )
@@ -72,6 +73,8 @@
 	case bfsyntax.TableNodes:
 		nodes, err := r.backend.Nodes(ctx)
 		return sortedRows(nodes, nodeRow), err
+	case bfsyntax.TableQuarantine:
+		return rowsOf(r.backend.Quarantine(), func(i bfquarantine.Item) row { return quarantineRow(i, r.backend.Now()) }), nil
 	case bfsyntax.TableStaged:
 		staged, err := r.backend.StagedList(ctx)
 		return sortedRows(staged, stagedRow), err
