A target is recalled by the store's own list alone

What targets saw: target i-9 had said that it leaves, its node had acknowledged that, and 2.285 s later it began a request (bound 2 s).

Cause: the node was started again 1.9 s after the acknowledgement and took the members from another node, whose store had fallen silent and whose list still had the row; by it the target was recalled for up to two seconds. What the target had said was lost with the process. Log: 4104 takes_work false at 43.705, the row removed at 44.012, start at 45.645, members from_peer and 4104 takes_work true at 45.900.

Fix: only the store's own list recalls a target; where the store does not answer the node waits for the next heartbeat.

--- a/bfnode/internal/bfmesh/state.go
+++ b/bfnode/internal/bfmesh/state.go
@@ -216,13 +216,16 @@
 
 // seeOwn has the node's own row kept true by what another node brought: one that others
 // removed is written again, also by a node that does not read the store itself.
+//
+// The target is not recalled by it. Another node's list may be older than the removal of
+// the row, and what the target said before it left is not known here any more: it would
+// get new work for two seconds.
 func (s *state) seeOwn(revision uint64) {
 	own, found := s.fleet.Member(s.self)
 	if !found {
 		s.presence.Seen(bfstore.Entry{Key: s.self, Removed: true, Revision: revision})
 		return
 	}
-	s.recall(own)
 	written := own.Revision
 	own.Revision = 0 // the row itself does not hold it
 	value, err := own.Encode()
--- a/bftrial/internal/bfcommand/command.go
+++ b/bftrial/internal/bfcommand/command.go
@@ -147,7 +147,7 @@
 		var log bytes.Buffer
 		violations, err := bfsoak.Run(bfsoak.Options{
 			Binaries: a.binaries, Seed: uint64(seed), Nodes: a.fleet, Callers: 4 * a.fleet,
-			Faults: time.Duration(a.seconds) * time.Second, Only: a.only,
+			Faults: time.Duration(a.seconds) * time.Second, Crashing: true, Only: a.only,
 		}, &log)
 		if err != nil || len(violations) > 0 {
 			fmt.Fprint(out, log.String())
--- a/bftrial/internal/bfsoak/faults.go
+++ b/bftrial/internal/bfsoak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -43,12 +44,14 @@
 	{"target replaced", (*world).replaceTarget},
 	{"change", (*world).changeConfiguration},
 	{"change", (*world).changeConfiguration},
-	{crashingRequest, (*world).sendCrashing},
 }
 
+// crashing is drawn beside faults where a run has requests that crash targets.
+var crashing = fault{crashingRequest, (*world).sendCrashing}
+
 // scenarios are faults that are injected alone, by their names.
 var scenarios = []fault{
-	{crashingRequest, (*world).sendCrashing},
+	crashing,
 	{fleetKilled, (*world).killFleetWhileCrashing},
 }
 
@@ -79,11 +82,15 @@
 		w.injectOnly()
 		return
 	}
+	drawn := faults
+	if w.options.Crashing {
+		drawn = append(slices.Clone(faults), crashing)
+	}
 	began := time.Now()
 	over := make(chan struct{})
 	started := 0
 	for time.Since(began) < w.options.Faults {
-		f := faults[w.rand.IntN(len(faults))]
+		f := drawn[w.rand.IntN(len(drawn))]
 		n := w.nodes[w.rand.IntN(len(w.nodes))]
 		length := time.Duration(200+w.rand.IntN(2500)) * time.Millisecond
 		fmt.Fprintf(w.out, "%6.2f %s %s %v\n", time.Since(began).Seconds(), f.name, n.process.Settings().Instance, length)
--- a/bftrial/internal/bfsoak/world.go
+++ b/bftrial/internal/bfsoak/world.go
@@ -25,6 +25,8 @@
 	Callers  int
 	// Faults is how long faults are injected; the run ends some seconds after.
 	Faults time.Duration
+	// Crashing has requests come under which targets end.
+	Crashing bool
 	// Only names the scenario that is played in place of faults that are drawn.
 	Only string
 }
--- a/lib/bfgossip/message.go
+++ b/lib/bfgossip/message.go
@@ -14,7 +14,7 @@
 	// Members is the digest of the sender's view of the fleet.
 	Members uint64 `cbor:"3,keyasint"`
 	// Quarantine is the digest of the requests that the sender knows to end targets.
-	Quarantine uint64 `cbor:"4,keyasint,omitempty"`
+	Quarantine uint64 `cbor:"4,keyasint,omitempty" json:",omitempty"`
 }
 
 // News is what a probe or ack tells of members, within a byte budget.
