A request in chunks is the same as one with its length

What callers would see: a request under which targets end, sent once with the length of its body and once in chunks, passes for two and ends six targets. The key held the length that the request states; it holds that of the body now. The test failed before: two keys.

--- a/lib/bfhost/flight.go
+++ b/lib/bfhost/flight.go
@@ -10,12 +10,19 @@
 )
 
 // Asked is what a request asks for; callerHeader names on whose behalf.
+//
+// A caller may send the same body with its length or in chunks, so the length that the
+// request states does not count.
 func Asked(r *bfexchange.Request, callerHeader string) bfquarantine.Request {
 	caller := ""
 	if named := r.Header[callerHeader]; len(named) > 0 {
 		caller = named[0]
 	}
-	return bfquarantine.Request{Method: r.Method, Host: r.Host, Target: r.Target, Caller: caller, Body: r.Head, Length: r.Length}
+	asked := bfquarantine.Request{Method: r.Method, Host: r.Host, Target: r.Target, Caller: caller, Body: r.Head, Length: int64(len(r.Head))}
+	if r.Rest != nil {
+		asked.Length = bfquarantine.LongBody
+	}
+	return asked
 }
 
 func (h *Host) asked(job Job) bfquarantine.Request {
--- a/lib/bfhost/quarantine_test.go
+++ b/lib/bfhost/quarantine_test.go
@@ -4,9 +4,14 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
+	"bilberryflow.org/lib/bfexchange"
 	"bilberryflow.org/lib/bfquarantine"
 )
 
@@ -107,3 +112,30 @@
 	r.Equal(<-refused, "refused quarantined")
 	r.Equal(r.runs.Load(), int32(2))
 }
+
+// Guards against a request passing for another one since its body comes in chunks, or over
+// another node.
+func TestSameRequestHasTheSameKeyHoweverItIsSent(t *testing.T) {
+	is := is.New(t)
+	var keys []bfquarantine.Key
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		request, err := ReadRequest(r, names.RequestID)
+		is.NoErr(err)
+		keys = append(keys, bfquarantine.KeyOf(Asked(request, names.CallerService)))
+	}))
+	defer server.Close()
+	client := bfexchange.New(bfexchange.Options{DialTimeout: time.Second})
+	for i, length := range []int64{4, bfexchange.Chunked, 4} {
+		header := http.Header{names.CallerService: {"c"}, names.RequestID: {fmt.Sprint(i)}, names.Deadline: {fmt.Sprint(100 * i)}}
+		answer, err := client.Send(context.Background(), strings.TrimPrefix(server.URL, "http://"), &bfexchange.Request{
+			Method: http.MethodPost, Target: "/x?y", Host: "h", Header: header, Head: []byte("body"), Length: length,
+		})
+		is.NoErr(err)
+		answer.Close()
+	}
+	is.Equal(keys[0], keys[1])
+	is.Equal(keys[0], keys[2])
+	is.Equal(keys[0], bfquarantine.KeyOf(bfquarantine.Request{
+		Method: http.MethodPost, Host: "h", Target: "/x?y", Caller: "c", Body: []byte("body"), Length: 4,
+	}))
+}
--- a/lib/bfquarantine/key.go
+++ b/lib/bfquarantine/key.go
@@ -30,11 +30,15 @@
 	Target string
 	// Caller is the service or workspace on whose behalf the request is made.
 	Caller string
-	// Body is the body, or the beginning of a long one; Length is that of the whole in bytes.
+	// Body is the body, or the beginning of a long one; Length is that of the whole in
+	// bytes, LongBody where Body is the beginning.
 	Body   []byte
 	Length int64
 }
 
+// LongBody is the length of a body of which only the beginning is known.
+const LongBody = -1
+
 // KeyOf is the key of a request.
 func KeyOf(r Request) Key {
 	h := sha256.New()
