--- a/bfnode/internal/bfmesh/metrics.go
+++ b/bfnode/internal/bfmesh/metrics.go
@@ -21,6 +21,8 @@
 	gauge("slots_used_or_waited_for", func() int64 { used, _ := n.host.Load(); return int64(used) })
 	gauge("requests_active", n.entry.Active)
 	gauge("link_backlog_ms", func() int64 { return n.pacer.Backlog().Milliseconds() })
+	gauge("quarantine_contents", func() int64 { return int64(n.book.View().Len()) })
+	gauge("quarantine_holds", func() int64 { return truth(n.book.View().Holds()) })
 	gauge("log_lines_dropped", n.logger.Dropped)
 	n.metrics.Publish("node")
 }
--- a/bftrial/internal/bfsoak/walk_test.go
+++ b/bftrial/internal/bfsoak/walk_test.go
@@ -185,3 +185,38 @@
 	wants(t, ask("explain GET //"+host+"/look-vault/1"), "service vault", "idempotent")
 	wants(t, ask("confirm autumn"), "kept by the platform")
 }
+
+// Targets ended under a request, and it is refused. From its ID the log must lead to its
+// content, and from that to each end of a target with all that ran there.
+func TestWalkOfAHeldRequest(t *testing.T) {
+	w := walkWorld(t, 5)
+	path := newCrashingPath()
+	send := func() outcome {
+		return w.askFor(context.Background(), &http.Client{}, w.nodes[0], newID(), http.MethodGet, path)
+	}
+	deadline := time.Now().Add(20 * time.Second)
+	held := send()
+	for held.status != http.StatusServiceUnavailable || !strings.Contains(w.nodes[0].process.Process().Log(), `"reason":"quarantined"`) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not held: status %d, %v", held.status, held.err)
+		}
+		time.Sleep(300 * time.Millisecond)
+		held = send()
+	}
+	refused := lines(t, w, held.id, 4101)
+	found := regexp.MustCompile(`"content":"([0-9a-f]{32})"`).FindStringSubmatch(refused)
+	if found == nil {
+		t.Fatalf("no content in %s", refused)
+	}
+	ends := 0
+	for _, n := range w.nodes {
+		for line := range strings.Lines(n.process.Process().Log()) {
+			if strings.Contains(line, found[1]) && strings.Contains(line, `"event":4107`) {
+				ends++
+			}
+		}
+	}
+	if ends < crashesBefore {
+		t.Errorf("%d ends of targets name content %s", ends, found[1])
+	}
+}
--- a/lib/bfentry/handler.go
+++ b/lib/bfentry/handler.go
@@ -182,7 +182,7 @@
 		// Callers of the machine do not share its link, so nothing is paced for them.
 		bfhost.Relay(w, r, end.Answer, nil)
 	case bfhost.Refused:
-		h.report(bflog.RequestRefused, c, slog.String("reason", string(end.Reason)), slog.Duration("come_back", end.RetryAfter))
+		h.reportRefused(c, end)
 		refuse(w, end.RetryAfter)
 	case bfhost.Shed:
 		h.report(bflog.RequestRefused, c, slog.String("reason", "shed by the target"), slog.Duration("come_back", end.RetryAfter))
@@ -240,6 +240,16 @@
 	return c, nil
 }
 
+// reportRefused logs a refusal; one that is held by its content, by which the ends of
+// targets are found in the logs.
+func (h *Handler) reportRefused(c *call, end bfhost.Refused) {
+	attributes := []slog.Attr{slog.String("reason", string(end.Reason)), slog.Duration("come_back", end.RetryAfter)}
+	if end.Reason == bfhost.Quarantined {
+		attributes = append(attributes, slog.String("content", c.key().Content.String()))
+	}
+	h.report(bflog.RequestRefused, c, attributes...)
+}
+
 func (h *Handler) reportAside(target *bffleet.Target, end bfhost.Refused, length time.Duration) {
 	attributes := []slog.Attr{
 		slog.String("node", target.Member().Inbound), slog.String("service", target.Member().Service),
--- a/lib/bfentry/refusal.go
+++ b/lib/bfentry/refusal.go
@@ -81,14 +81,18 @@
 	return true
 }
 
+// key is what the request is known by over all its attempts.
+func (c *call) key() bfquarantine.Key {
+	return bfquarantine.KeyOf(bfhost.Asked(c.request, c.handler.parts.Names.CallerService))
+}
+
 // held is the refusal of a request under which targets end: no target is asked.
 func (c *call) held(now time.Time) (refusal bfhost.Refused, is bool) {
 	view := c.handler.parts.Quarantine.View()
 	if !view.Holds() {
 		return bfhost.Refused{}, false
 	}
-	key := bfquarantine.KeyOf(bfhost.Asked(c.request, c.handler.parts.Names.CallerService))
-	held, is := view.Refuse(key, now)
+	held, is := view.Refuse(c.key(), now)
 	if !is {
 		return bfhost.Refused{}, false
 	}
--- a/lib/bfrumor/exchange_test.go
+++ b/lib/bfrumor/exchange_test.go
@@ -12,7 +12,9 @@
 
 	"github.com/matryer/is"
 
+	"bilberryflow.org/lib/bfcodec"
 	"bilberryflow.org/lib/bfgroup"
+	"bilberryflow.org/lib/bfpeer"
 	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bftimer"
 )
@@ -177,3 +179,20 @@
 	}
 	f.Equal(a.Digest(), uint64(0))
 }
+
+// Guards against the news of one crash taking more than a packet.
+func TestNewsOfACrashFitsAPacket(t *testing.T) {
+	is := is.New(t)
+	book := bfquarantine.New("n")
+	var ran []bfquarantine.Key
+	for i := range 12 {
+		ran = append(ran, bfquarantine.KeyOf(bfquarantine.Request{Target: fmt.Sprint(i)}))
+	}
+	book.Crashed(bfquarantine.CrashOf("end"), ran, time.Now())
+	records, err := bfcodec.Marshal(book.TakeNews(time.Now()))
+	is.NoErr(err)
+	data, err := json.Marshal(message{Peer: "10.128.100.100:65535", Records: records})
+	is.NoErr(err)
+	t.Logf("%d bytes of records, %d of the message", len(records), len(data))
+	is.True(len(data) < bfpeer.MaxDatagram)
+}
