News of crashes is told at a rate that hundreds of peers bear

A node that tells hundreds could begin the next round of calls 20 ms after the last: the pause grows with the peers that were told. Answers that clear nothing take no lock. A node of the own interface that knows nobody yet tells nobody.

--- a/bfnode/internal/bfcommand/node.go
+++ b/bfnode/internal/bfcommand/node.go
@@ -112,6 +112,9 @@
 // rumorAudience are the peers that hear at once of what is new here, drawn anew each time.
 func (n *node) rumorAudience(bool) (peers []string) {
 	order := n.control.Order()
+	if order.Len() == 0 {
+		return nil
+	}
 	for range rumorFanout {
 		if row := order.At(rand.IntN(order.Len())).Row(); row.ID != n.settings.Instance && row.State.Present() {
 			peers = append(peers, row.Peer)
--- a/lib/bfquarantine/book.go
+++ b/lib/bfquarantine/book.go
@@ -51,7 +51,7 @@
 	defer b.mu.Unlock()
 	held := b.view.Load()
 	for _, key := range ran {
-		if _, free := held.Judge(key, now).(Free); !free {
+		if !held.isFree(key, now) {
 			blamed = append(blamed, key)
 		}
 	}
@@ -69,10 +69,14 @@
 // Answered takes a request that a target answered, and reports whether that speaks for it:
 // it does not end targets, whatever ended while it ran.
 func (b *Book) Answered(key Key, now time.Time) bool {
+	if b.view.Load().isFree(key, now) {
+		// Nearly all answers, and they need no lock.
+		return false
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	held := b.view.Load()
-	if _, free := held.Judge(key, now).(Free); free {
+	if held.isFree(key, now) {
 		return false
 	}
 	r := held.records[key.Content]
--- a/lib/bfquarantine/view.go
+++ b/lib/bfquarantine/view.go
@@ -58,6 +58,11 @@
 	return judge(r.count(key.Caller), r.last, now, v.stretch(key.Content))
 }
 
+func (v *View) isFree(key Key, now time.Time) bool {
+	_, free := v.Judge(key, now).(Free)
+	return free
+}
+
 // Refuse reports whether no node runs the request, and until when: the entry need not ask any.
 func (v *View) Refuse(key Key, now time.Time) (held Held, refused bool) {
 	r, found := v.records[key.Content]
--- a/lib/bfrumor/exchange.go
+++ b/lib/bfrumor/exchange.go
@@ -20,8 +20,10 @@
 	// callTimeout bounds one call; who does not hear it compares later.
 	callTimeout = time.Second
 	// gatherPause is the pause after telling others, in which what comes next gathers: many
-	// targets may end within milliseconds.
+	// targets may end within milliseconds. It grows by peerPause for each peer that was
+	// told, so that the calls of a node that tells hundreds do not pile up.
 	gatherPause = 20 * time.Millisecond
+	peerPause   = time.Millisecond
 	// settlePause is how long a differing digest is given to agree by what is on its way.
 	settlePause = 100 * time.Millisecond
 	// comparePause is the least time between two comparisons that a node begins.
@@ -98,9 +100,9 @@
 		case <-e.parts.Book.Changed():
 		case <-e.wake:
 		}
-		e.tell(e.parts.Audience(true), e.parts.Book.TakeNews(e.parts.Timer.Now()))
-		e.tell(e.parts.Audience(false), e.takeHeard())
-		if e.parts.Timer.Wait(ctx, gatherPause) != nil {
+		told := e.tell(e.parts.Audience(true), e.parts.Book.TakeNews(e.parts.Timer.Now()))
+		told += e.tell(e.parts.Audience(false), e.takeHeard())
+		if e.parts.Timer.Wait(ctx, gatherPause+time.Duration(told)*peerPause) != nil {
 			return nil
 		}
 	}
@@ -114,14 +116,14 @@
 	return heard
 }
 
-// tell tells peers; one that does not hear it finds another digest later.
-func (e *Exchange) tell(peers []string, records []bfquarantine.Record) {
+// tell tells peers, and returns how many; one that does not hear it finds another digest later.
+func (e *Exchange) tell(peers []string, records []bfquarantine.Record) (told int) {
 	if len(records) == 0 {
-		return
+		return 0
 	}
 	data, err := bfcodec.Marshal(records)
 	if err != nil {
-		return
+		return 0
 	}
 	for _, peer := range peers {
 		e.parts.Spawn("tell of crashes", func(ctx context.Context) error {
@@ -130,6 +132,7 @@
 			return nil
 		})
 	}
+	return len(peers)
 }
 
 func (e *Exchange) call(ctx context.Context, peer string, m message, told *reply) error {
