--- a/bfnode/internal/bfcommand/node.go
+++ b/bfnode/internal/bfcommand/node.go
@@ -106,7 +106,7 @@
 }
 
 // rumorFanout is how many members a node tells what is new to it; each of them tells as
-// many. Three reach all but a few in a hundred, and those see another digest on a probe.
+// many. Those that this misses see another digest on a probe.
 const rumorFanout = 3
 
 // rumorAudience are the peers that hear at once of what is new here, drawn anew each time.
--- a/bftrial/internal/bfproof/crash_test.go
+++ b/bftrial/internal/bfproof/crash_test.go
@@ -11,8 +11,7 @@
 	"bilberryflow.org/lib/bfheader"
 )
 
-// Guards against a request under which targets end being sent to one after the other by
-// nodes that keep their own configuration, and against it being known to some of them only.
+// Guards against only some nodes knowing a request under which targets end.
 func TestFleetHoldsARequestUnderWhichTargetsEnd(t *testing.T) {
 	w := newWorld(t, 8)
 	const path = "/lookups/bad?crash=1&"
--- a/bftrial/internal/bfsoak/soak_test.go
+++ b/bftrial/internal/bfsoak/soak_test.go
@@ -39,8 +39,7 @@
 	}
 }
 
-// Guards against a request that ends each target that begins to run it, and that is sent
-// to one target after the other, since nobody remembers it from one attempt to the next.
+// Guards against a request that ends one target after the other, as each attempt passes for a new one.
 func TestRequestThatCrashesTargetsIsHeldBack(t *testing.T) {
 	soak(t, Options{Binaries: build(t), Seed: 1, Nodes: 6, Callers: 12, Faults: 3 * time.Second, Only: crashingRequest})
 }
--- a/lib/bfbackup/backup.go
+++ b/lib/bfbackup/backup.go
@@ -14,8 +14,7 @@
 )
 
 const (
-	// interval is the pause between two looks at whether there is something to do. A fleet
-	// that starts anew is due to hold what it held within seconds.
+	// interval is the pause between two looks at whether there is something to do.
 	interval = 500 * time.Millisecond
 	// longestRow bounds the row in bytes: the platform takes 64 KiB.
 	longestRow = 48 << 10
--- a/lib/bfbackup/backup_test.go
+++ b/lib/bfbackup/backup_test.go
@@ -85,8 +85,7 @@
 	is.True(held)
 }
 
-// Guards against a request that was cleared, or whose verdict is over, being held again by
-// a copy that nobody took back.
+// Guards against a request that was cleared being held again by an old copy.
 func TestCopyFollowsWhatIsHeld(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
--- a/lib/bfcaller/quarantine_test.go
+++ b/lib/bfcaller/quarantine_test.go
@@ -26,8 +26,7 @@
 	}
 }
 
-// Guards against a request under which each target ends being sent from one to the next
-// over the product's own interface, by an entry's retries and as new requests.
+// Guards against retries and new requests taking a request that ends targets from one to the next.
 func TestRequestUnderWhichTargetsEndIsHeld(t *testing.T) {
 	is := is.New(t)
 	w, entry := newEntry(t, bfforward.HTTP1, 6)
@@ -45,8 +44,7 @@
 	is.Equal(w.ran("bad"), 3)
 }
 
-// Guards against nominations, which nobody repeats, ending one target for each time that
-// their callers send them.
+// Guards against a request that nobody repeats ending a target each time that its caller sends it.
 func TestNominationUnderWhichTargetsEndIsHeld(t *testing.T) {
 	is := is.New(t)
 	w, entry := newEntry(t, bfforward.HTTP1, 6)
--- a/lib/bfcontrol/quarantine_test.go
+++ b/lib/bfcontrol/quarantine_test.go
@@ -40,8 +40,7 @@
 	return d.seen[address]
 }
 
-// Guards against a member that was started anew, or cut off, never finding out that others
-// hold requests.
+// Guards against a member that was started anew never finding out that others hold requests.
 func TestDigestOfTheQuarantineRidesOnProbes(t *testing.T) {
 	run(t, func(w *world) {
 		w.fleet(4)
--- a/lib/bfemulator/quarantine_test.go
+++ b/lib/bfemulator/quarantine_test.go
@@ -7,8 +7,7 @@
 	"github.com/matryer/is"
 )
 
-// Guards against requests under which targets end being sent from one target to the next,
-// and against others being held for having run beside them.
+// Guards against requests that end one target after the other, and others held for running beside them.
 func TestRequestsThatEndTargetsAreHeld(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(5) {
@@ -25,8 +24,7 @@
 	}
 }
 
-// Guards against requests being held while many targets end for reasons of their own:
-// such as come once, and such as many make, which run at all targets at any moment.
+// Guards against requests being held while many targets end for reasons of their own.
 func TestOtherEndsOfTargetsHoldNothing(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(20) {
--- a/lib/bfentry/quarantine_test.go
+++ b/lib/bfentry/quarantine_test.go
@@ -23,8 +23,7 @@
 	}
 }
 
-// Guards against nodes being asked to run a request that none of them runs, and its caller
-// being told to come back before any would.
+// Guards against nodes being asked to run a request that none of them runs.
 func TestHeldRequestIsRefusedAtOnce(t *testing.T) {
 	m := newMesh(t, generous, hello, hello)
 	m.entry.parts.Quarantine = bfquarantine.New("entry")
@@ -39,8 +38,7 @@
 	m.Equal(answer, "200 hello")
 }
 
-// Guards against a request going from node to node, or their targets being passed over,
-// since one of the nodes knew what the entry did not know yet.
+// Guards against a held request going from node to node, and their targets being passed over for it.
 func TestRefusalOfAHeldRequestIsFinal(t *testing.T) {
 	m := newMesh(t, generous, hello, hello, hello)
 	var asked atomic.Int32
--- a/lib/bfflight/register_test.go
+++ b/lib/bfflight/register_test.go
@@ -71,8 +71,7 @@
 	}
 }
 
-// Guards against a request that many make being held, since it ran at several targets that
-// ended at one moment for reasons of their own.
+// Guards against a request that many make being blamed for ends of targets at one moment.
 func TestRequestThatWasAnsweredLatelyIsNotBlamed(t *testing.T) {
 	r := newRig(t)
 	f := r.begin(r.target("t"), "/popular")
@@ -88,8 +87,7 @@
 	r.Equal(len(r.crashes[0].Blamed), 1)
 }
 
-// Guards against the end of a target being told once for each request that it ran, or
-// blaming what another target runs.
+// Guards against the end of a target being told once for each request that it ran.
 func TestOneEndIsNotedOnce(t *testing.T) {
 	r := newRig(t)
 	a, b := r.target("a"), r.target("b")
--- a/lib/bfhost/crash_test.go
+++ b/lib/bfhost/crash_test.go
@@ -98,8 +98,7 @@
 	r.Equal(len(seen.take()), 0)
 }
 
-// Guards against a target that is back a second after its end getting no work until the
-// one before it has been silent for three.
+// Guards against a target that is back getting no work until the one before it was silent for long.
 func TestTargetThatIsBackIsBelievedAtOnce(t *testing.T) {
 	r := newRig(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
 	r.beat("a", 1, Ready)
--- a/lib/bfhost/quarantine_test.go
+++ b/lib/bfhost/quarantine_test.go
@@ -64,8 +64,7 @@
 	r.True(!r.host.parts.Quarantine.View().Watches()) // the answers cleared both
 }
 
-// Guards against a request that is answered here staying held, since targets ended
-// elsewhere while they ran it.
+// Guards against a request staying held that is answered meanwhile.
 func TestAnswerOfARunningRequestClearsIt(t *testing.T) {
 	begun, finish := make(chan struct{}, 1), make(chan struct{})
 	r := newRig(t, func(w http.ResponseWriter, q *http.Request) {
@@ -113,8 +112,7 @@
 	r.Equal(r.runs.Load(), int32(2))
 }
 
-// Guards against a request passing for another one since its body comes in chunks, or over
-// another node.
+// Guards against a request passing for another one since its body comes in chunks.
 func TestSameRequestHasTheSameKeyHoweverItIsSent(t *testing.T) {
 	is := is.New(t)
 	var keys []bfquarantine.Key
--- a/lib/bfquarantine/answers.go
+++ b/lib/bfquarantine/answers.go
@@ -9,8 +9,7 @@
 	// answersFor is how long an answer is remembered at the least.
 	answersFor = 30 * time.Second
 	// filterBits is the size of one filter, filterHashes how many bits of it each answer
-	// sets. With mostAnswers in it one of forty requests that were not answered passes for
-	// one that was.
+	// sets, mostAnswers how many answers it takes.
 	filterBits   = 1 << 17
 	filterHashes = 4
 	mostAnswers  = filterBits / 8
--- a/lib/bfquarantine/book.go
+++ b/lib/bfquarantine/book.go
@@ -12,7 +12,7 @@
 
 const (
 	// mostHeld bounds the contents that are held, mostSuspected the others: a flood of the
-	// one kind does not push out the other. Full, both take some 200 kB.
+	// one kind does not push out the other.
 	mostHeld      = 512
 	mostSuspected = 512
 )
--- a/lib/bfquarantine/book_test.go
+++ b/lib/bfquarantine/book_test.go
@@ -92,8 +92,7 @@
 	is.Equal(name(b.View().Judge(beside, start.Add(time.Minute))), "bfquarantine.Free")
 }
 
-// Guards against a request that many callers make being held after several targets ended
-// for reasons of their own: its answers elsewhere clear it, also once it is held.
+// Guards against a request staying held that targets answer.
 func TestAnswerClearsARequest(t *testing.T) {
 	is := is.New(t)
 	b, other := New("n"), New("m")
@@ -116,8 +115,7 @@
 	is.Equal(name(b.View().Judge(popular, now)), "bfquarantine.Held")
 }
 
-// Guards against a request passing in the name of other callers, and against callers being
-// held for what another's request does.
+// Guards against a request passing in other callers' names, and callers held for another's request.
 func TestCallers(t *testing.T) {
 	is := is.New(t)
 	b := New("n")
@@ -133,8 +131,7 @@
 	is.Equal(name(b.View().Judge(one, now)), "bfquarantine.Held")
 }
 
-// Guards against a verdict that never ends, one that ends at all nodes at one moment, and
-// one that a request gets rid of by waiting.
+// Guards against a verdict that never ends, or that ends at all nodes at one moment.
 func TestVerdictEndsInATrial(t *testing.T) {
 	is := is.New(t)
 	bad := key("/bad", "c")
@@ -167,8 +164,7 @@
 	return set
 }
 
-// Guards against a flood of requests that each end targets filling the memory, and against
-// it pushing out those that are held.
+// Guards against a flood of requests that end targets filling the memory.
 func TestFloodOfDistinctRequestsIsBounded(t *testing.T) {
 	is := is.New(t)
 	b := New("n")
--- a/lib/bfquarantine/record.go
+++ b/lib/bfquarantine/record.go
@@ -19,8 +19,7 @@
 }
 
 const (
-	// mostMarks bounds the marks of one content, mostOfCaller those of one caller among
-	// them: with as many ends longestHold is reached.
+	// mostMarks bounds the marks of one content, mostOfCaller those of one caller among them.
 	mostMarks    = 32
 	mostOfCaller = 8
 )
--- a/lib/bfquarantine/verdict.go
+++ b/lib/bfquarantine/verdict.go
@@ -25,9 +25,7 @@
 const (
 	// crashLimit is how many targets end under a request before it is held.
 	crashLimit = 3
-	// firstHold is how long it is held then. A trial costs a target some seconds and all
-	// that it runs: at one in five minutes that is a hundredth of one target. Each further
-	// end doubles it up to longestHold.
+	// firstHold is how long it is held then; each further end doubles it up to longestHold.
 	firstHold   = 5 * time.Minute
 	longestHold = time.Hour
 	// retention is how long what speaks against a request is kept beyond that.
--- a/lib/bfrumor/exchange_test.go
+++ b/lib/bfrumor/exchange_test.go
@@ -154,8 +154,7 @@
 	f.eventually("brought", func() bool { return holds(anew) })
 }
 
-// Guards against calls between nodes that know the same, and against a peer of another
-// version being asked without pause.
+// Guards against nodes comparing again and again.
 func TestComparingIsRare(t *testing.T) {
 	f := newFleet(t)
 	a := f.start("a", true)
