--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -214,7 +214,7 @@
 	n.shareQuarantine()
 	n.news = bfnews.New(bfnews.Parts{
 		Self: n.common.Peer, Place: place(n.common, n.settings), First: n.settings.FirstStart, State: n.state,
-		Fleet: n.fleet, Calls: n.calls, Timer: n.timer, Logger: n.logger, Spawn: n.group.Go, Also: n.rumor,
+		Fleet: n.fleet, Calls: n.calls, Timer: n.timer, Logger: n.logger, Spawn: n.group.Go, Quarantine: n.rumor,
 	})
 	maps.Copy(methods, n.news.Methods())
 	maps.Copy(methods, n.rumor.Methods())
--- a/lib/bfguard/flight.go
+++ b/lib/bfguard/flight.go
@@ -31,20 +31,20 @@
 	return opened.Close()
 }
 
-// flown is a target process as the register of flights knows it.
-type flown struct {
+// flightTarget is a target process as the register of flights knows it.
+type flightTarget struct {
 	guard  *Guard
 	status Status
 }
 
 // Name tells the process from every other one.
-func (f flown) Name() string { return fmt.Sprint(f.status.Address, " ", f.status.Incarnation) }
+func (f flightTarget) Name() string { return fmt.Sprint(f.status.Address, " ", f.status.Incarnation) }
 
 // Address is where the target takes requests.
-func (f flown) Address() string { return f.status.Address }
+func (f flightTarget) Address() string { return f.status.Address }
 
 // Fate is what was heard of the target.
-func (f flown) Fate() bfflight.Fate {
+func (f flightTarget) Fate() bfflight.Fate {
 	now := f.guard.Status(f.guard.parts.Timer.Now())
 	switch {
 	case now.Incarnation != f.status.Incarnation:
--- a/lib/bfguard/run.go
+++ b/lib/bfguard/run.go
@@ -110,7 +110,7 @@
 		return v.abort(bfrecord.ReasonDeadline, 0), bfadmit.Unused
 	}
 	// Targets may have ended under the request while it waited.
-	flight, err := g.flights.Begin(flown{g, target}, v.meta.ID.String(), v.asked())
+	flight, err := g.flights.Begin(flightTarget{g, target}, v.meta.ID.String(), v.asked())
 	if err != nil {
 		return v.notBegun(err)
 	}
--- a/lib/bfhost/crash_test.go
+++ b/lib/bfhost/crash_test.go
@@ -104,12 +104,12 @@
 	r.beat("a", 1, Ready)
 	r.beat("b", 1, Ready)
 	r.Equal(r.host.Target().Incarnation(), "a") // b may be a late word of one that is gone
-	r.host.crashed(bfflight.Crash{Target: flown{r.host, r.host.Target()}})
+	r.host.crashed(bfflight.Crash{Target: flightTarget{r.host, r.host.Target()}})
 	r.beat("b", 2, Ready)
 	r.Equal(r.host.Target().Incarnation(), "b")
 	r.beat("a", 1, Ready)
 	r.Equal(r.host.Target().Incarnation(), "b")
-	r.host.crashed(bfflight.Crash{Target: flown{r.host, r.host.Target()}})
+	r.host.crashed(bfflight.Crash{Target: flightTarget{r.host, r.host.Target()}})
 	r.beat("a", 1, Ready) // a late word of a start that ended before
 	r.Equal(r.host.Target().Incarnation(), "b")
 	r.beat("b", 3, Ready) // it lives, so a third one has to wait
--- a/lib/bfhost/flight.go
+++ b/lib/bfhost/flight.go
@@ -41,26 +41,26 @@
 // crashed takes the end of the target.
 func (h *Host) crashed(crash bfflight.Crash) {
 	h.mu.Lock()
-	h.book.crash(crash.Target.(flown).heartbeat)
+	h.book.crash(crash.Target.(flightTarget).heartbeat)
 	h.mu.Unlock()
 	if h.parts.Crashed != nil {
 		h.parts.Crashed(crash)
 	}
 }
 
-// flown is a target as the register of flights knows it.
-type flown struct {
+// flightTarget is a target as the register of flights knows it.
+type flightTarget struct {
 	host *Host
 	*Target
 }
 
 // Name tells the start from every other one.
-func (f flown) Name() string {
+func (f flightTarget) Name() string {
 	return f.Address() + " " + f.Incarnation() + " " + f.Started().Format(time.RFC3339Nano)
 }
 
 // Fate is what was heard of the target.
-func (f flown) Fate() bfflight.Fate {
+func (f flightTarget) Fate() bfflight.Fate {
 	f.host.mu.Lock()
 	defer f.host.mu.Unlock()
 	current := f.host.book.current
--- a/lib/bfhost/host.go
+++ b/lib/bfhost/host.go
@@ -169,7 +169,7 @@
 		return refused
 	}
 	// Targets may have ended under the request while it waited.
-	flight, err := h.flights.Begin(flown{h, target}, job.Request.ID, asked)
+	flight, err := h.flights.Begin(flightTarget{h, target}, job.Request.ID, asked)
 	if err != nil {
 		slot.Release()
 		return notBegun(err)
@@ -181,7 +181,7 @@
 		return Refused{Reason: Unborne}
 	}
 	h.begin(job, run)
-	end := h.hand(ctx, job, handed{target, flight}, func() {
+	end := h.hand(ctx, job, handover{target, flight}, func() {
 		h.end(job, run)
 		flight.End()
 		slot.Release()
@@ -222,8 +222,8 @@
 	h.running.Add(-1)
 }
 
-// handed is a request in the hands of a target.
-type handed struct {
+// handover is a request in the hands of a target.
+type handover struct {
 	target *Target
 	flight *bfflight.Flight
 }
@@ -233,7 +233,7 @@
 const answerMargin = 100 * time.Millisecond
 
 // hand sends the job to the target; done is called when the target works on it no more.
-func (h *Host) hand(ctx context.Context, job Job, to handed, done func()) Result {
+func (h *Host) hand(ctx context.Context, job Job, to handover, done func()) Result {
 	left := job.Deadline.Sub(h.parts.Timer.Now())
 	if left <= 0 {
 		done()
@@ -269,7 +269,7 @@
 	return h.take(ctx, answer, to, finish, job)
 }
 
-func (h *Host) lost(ctx context.Context, err error, job Job, to handed) Result {
+func (h *Host) lost(ctx context.Context, err error, job Job, to handover) Result {
 	if !h.parts.Timer.Now().Before(job.Deadline) {
 		return Expired{Sent: true}
 	}
@@ -278,7 +278,7 @@
 }
 
 // take reads the answer, or the target's word that it did not run the request.
-func (h *Host) take(ctx context.Context, from *bfexchange.Answer, to handed, finish func(), job Job) Result {
+func (h *Host) take(ctx context.Context, from *bfexchange.Answer, to handover, finish func(), job Job) Result {
 	if from.Status() == http.StatusMisdirectedRequest {
 		// Another incarnation has the address; nothing runs until it is heard of.
 		from.Close()
--- a/lib/bfnews/news.go
+++ b/lib/bfnews/news.go
@@ -100,15 +100,15 @@
 
 // Exchange asks other nodes for news and answers them.
 type Exchange struct {
-	self   string
-	place  bffleet.Place
-	state  State
-	fleet  *bffleet.Fleet
-	calls  *bfpeer.Calls
-	timer  *bftimer.Service
-	logger *bflog.Logger
-	spawn  func(name string, fn func(ctx context.Context) error)
-	also   Comparer
+	self       string
+	place      bffleet.Place
+	state      State
+	fleet      *bffleet.Fleet
+	calls      *bfpeer.Calls
+	timer      *bftimer.Service
+	logger     *bflog.Logger
+	spawn      func(name string, fn func(ctx context.Context) error)
+	quarantine Comparer
 	// began is when the node started.
 	began time.Time
 	// first says that the whole fleet starts for the first time, meeting when this node
@@ -144,18 +144,18 @@
 	Logger *bflog.Logger
 	// Spawn starts a goroutine of the node's group.
 	Spawn func(name string, fn func(ctx context.Context) error)
-	// Also is compared with other nodes beside the state, nil for nothing.
-	Also Comparer
+	// Quarantine is compared with other nodes beside the state, nil for nothing.
+	Quarantine Comparer
 }
 
 // New makes the exchange of a node that starts now.
 func New(parts Parts) *Exchange {
-	if parts.Also == nil {
-		parts.Also = nothing{}
+	if parts.Quarantine == nil {
+		parts.Quarantine = nothing{}
 	}
 	return &Exchange{
 		self: parts.Self, place: parts.Place, first: parts.First, state: parts.State, fleet: parts.Fleet,
-		calls: parts.Calls, timer: parts.Timer, logger: parts.Logger, spawn: parts.Spawn, also: parts.Also,
+		calls: parts.Calls, timer: parts.Timer, logger: parts.Logger, spawn: parts.Spawn, quarantine: parts.Quarantine,
 		meeting: firstMeeting + time.Duration(rand.Float64()*float64(meetingSpread)),
 		changed: make(chan struct{}, 1), began: time.Now(),
 	}
@@ -247,11 +247,11 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	held := e.state.Version()
-	asked := question{Version: held, Revision: e.state.Revision(), Send: send, Peer: e.self, Quarantine: e.also.Digest()}
+	asked := question{Version: held, Revision: e.state.Revision(), Send: send, Peer: e.self, Quarantine: e.quarantine.Digest()}
 	if err := e.calls.Call(ctx, peer, Method, asked, &told); err != nil {
 		return reply{}, false
 	}
-	e.also.Saw(peer, told.Quarantine)
+	e.quarantine.Saw(peer, told.Quarantine)
 	e.take(told)
 	if e.state.Version() > held {
 		e.hint()
@@ -262,7 +262,7 @@
 // VersionAt asks a node for the version in force there.
 func (e *Exchange) VersionAt(ctx context.Context, peer string) (bftraffic.Version, error) {
 	var told reply
-	asked := question{Version: e.state.Version(), Revision: e.state.Revision(), Peer: e.self, Quarantine: e.also.Digest()}
+	asked := question{Version: e.state.Version(), Revision: e.state.Revision(), Peer: e.self, Quarantine: e.quarantine.Digest()}
 	err := e.calls.Call(ctx, peer, Method, asked, &told)
 	return told.Version, err
 }
@@ -291,7 +291,7 @@
 		return nil, err
 	}
 	if asked.Peer != "" {
-		e.also.Saw(asked.Peer, asked.Quarantine)
+		e.quarantine.Saw(asked.Peer, asked.Quarantine)
 	}
 	if e.behind(asked.Version, asked.Revision) && e.askingBack.CompareAndSwap(false, true) {
 		e.spawn("ask back", func(ctx context.Context) error {
@@ -318,7 +318,7 @@
 }
 
 func (e *Exchange) reply(asked question) (reply, error) {
-	r := reply{Version: e.state.Version(), Revision: e.state.Revision(), Quarantine: e.also.Digest()}
+	r := reply{Version: e.state.Version(), Revision: e.state.Revision(), Quarantine: e.quarantine.Digest()}
 	if !asked.Send {
 		return r, nil
 	}
--- a/lib/bfnews/tell.go
+++ b/lib/bfnews/tell.go
@@ -92,7 +92,7 @@
 // The revision is read before the version: taken the other way round, a change in between
 // would have an old version pass for the newest as of the change.
 func (e *Exchange) tale(reader bool) tale {
-	t := tale{AsOf: e.state.VersionAsOf(), Peer: e.self, Quarantine: e.also.Digest(), Reader: reader, Fresh: reader || e.hears(&e.heard.reader)}
+	t := tale{AsOf: e.state.VersionAsOf(), Peer: e.self, Quarantine: e.quarantine.Digest(), Reader: reader, Fresh: reader || e.hears(&e.heard.reader)}
 	t.Version, t.Revision = e.state.Version(), e.state.Revision()
 	return t
 }
@@ -198,7 +198,7 @@
 	}
 	e.note(t)
 	if !t.Hint {
-		e.also.Saw(t.Peer, t.Quarantine)
+		e.quarantine.Saw(t.Peer, t.Quarantine)
 	}
 	e.takeDelta(t.Delta)
 	e.takeMembers(t.Members)
