Tests of held requests take ended targets out of the fleet

Cause: three of six targets had ended and stayed in the fleet of the test, so that a later request could meet only those: three attempts, or one where no retry was earned. The tests asked for what the entry can't know there.

--- a/lib/bfcaller/quarantine_test.go
+++ b/lib/bfcaller/quarantine_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/matryer/is"
@@ -13,17 +14,26 @@
 	"bilberryflow.org/lib/bfrecord"
 )
 
-// endAt has the targets end while they run a request of that path and query.
-func (w *world) endAt(target string) {
+// endAt has the targets end while they run a request of that path and query. The returned
+// function takes those that have ended out of the fleet, as their nodes would in time.
+func (w *world) endAt(target string) (retire func()) {
+	var ended sync.Map
 	for _, n := range w.nodes {
 		n.target.does(func(rw http.ResponseWriter, r *http.Request) {
 			if r.URL.RequestURI() == target {
+				ended.Store(n, true)
 				n.target.kill()
 				panic(http.ErrAbortHandler)
 			}
 			_, _ = io.WriteString(rw, "ran "+r.Header.Get(order))
 		})
 	}
+	return func() {
+		ended.Range(func(at, _ any) bool {
+			at.(*node).announces(true)
+			return true
+		})
+	}
 }
 
 // Guards against retries and new requests taking a request that ends targets from one to the next.
@@ -31,9 +41,10 @@
 	is := is.New(t)
 	w, entry := newEntry(t, bfforward.HTTP1, 6)
 	entry.earn(is, 8)
-	w.endAt(lookUp + "?bad")
+	retire := w.endAt(lookUp + "?bad")
 	for range 4 {
 		_ = entry.ask("GET", lookUp+"?bad", "bad")
+		retire()
 	}
 	is.Equal(w.ran("bad"), 3)
 	got := entry.ask("GET", lookUp+"?bad", "bad")
@@ -48,10 +59,11 @@
 func TestNominationUnderWhichTargetsEndIsHeld(t *testing.T) {
 	is := is.New(t)
 	w, entry := newEntry(t, bfforward.HTTP1, 6)
-	w.endAt(approve + "?bad")
+	retire := w.endAt(approve + "?bad")
 	outcomes := map[string]int{}
 	for range 6 {
 		outcomes[entry.ask("POST", approve+"?bad", "bad").outcome]++
+		retire()
 	}
 	is.Equal(outcomes, map[string]int{bfheader.OutcomeUnknown: 3, bfheader.OutcomeNotRun: 3})
 	is.Equal(w.ran("bad"), 3)
