--- a/bfnode/internal/bfmesh/forget.go
+++ b/bfnode/internal/bfmesh/forget.go
@@ -15,6 +15,10 @@
 // dialing it; the first node to write does it for all. A node whose state isn't up to
 // date with the store removes nothing: it may itself be the one that is partitioned.
 func (n *node) removeLostMember(member bffleet.Member) {
+	if n.state.DropUnwritten(member) {
+		n.logger.Emit(bflog.RowRemoved, slog.String("member", member.Inbound))
+		return
+	}
 	if !n.current() || member.Revision == 0 {
 		return
 	}
--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -15,7 +15,9 @@
 	"bilberryflow.org/lib/bfbackup"
 	"bilberryflow.org/lib/bfbatch"
 	"bilberryflow.org/lib/bfbudget"
+	"bilberryflow.org/lib/bfdeploy"
 	"bilberryflow.org/lib/bfentry"
+	"bilberryflow.org/lib/bfera"
 	"bilberryflow.org/lib/bfexchange"
 	"bilberryflow.org/lib/bffleet"
 	"bilberryflow.org/lib/bffollow"
@@ -33,6 +35,7 @@
 	"bilberryflow.org/lib/bfpresence"
 	"bilberryflow.org/lib/bfprogram"
 	"bilberryflow.org/lib/bfquarantine"
+	"bilberryflow.org/lib/bfrollout"
 	"bilberryflow.org/lib/bfrumor"
 	"bilberryflow.org/lib/bfserver"
 	"bilberryflow.org/lib/bfstore"
@@ -56,7 +59,7 @@
 	host       *bfhost.Host
 	entry      *bfentry.Handler
 	pacer      *bfpacer.Pacer
-	store      *bfdialect.Store
+	store      *bfera.Store
 	presence   *bfpresence.Presence
 	batcher    *bfbatch.Batcher
 	state      *state
@@ -66,6 +69,8 @@
 	news       *bfnews.Exchange
 	quarantine *bfquarantine.Book
 	rumor      *bfrumor.Exchange
+	rollouts   *bfrollout.Book
+	conductor  *bfdeploy.Conductor
 	backup     *bfbackup.Backup
 	peers      net.Listener
 	callers    *bfpipeline.Server
@@ -125,6 +130,7 @@
 		traffic:    bftraffic.NewHolder(nil),
 		quarantine: bfquarantine.New(common.Inbound),
 	}
+	n.rollouts = bfrollout.NewBook(bfrollout.Config{Terms: settings.Rollouts.terms(), Entries: n.fleet.Size, Now: n.timer.Now})
 	n.pacer = bfpacer.New(n.timer, settings.LinkMbps)
 	account := n.account()
 	names := bfdialect.Headers()
@@ -132,15 +138,15 @@
 	n.nodes = bfexchange.New(bfexchange.Options{DialTimeout: dialTimeout, DefaultIdleTimeout: nodeIdleTimeout, Wrap: n.wrap})
 	n.host = bfhost.New(bfhost.Config{
 		Service: common.Service, Names: names, Client: n.targets, Timer: n.timer, Account: account,
-		Changed: n.targetChanged, Quarantine: n.quarantine, Crashed: n.targetCrashed,
+		Changed: n.targetChanged, Quarantine: n.quarantine, Crashed: n.targetCrashed, AdmitsVersion: n.admitsVersion,
 	})
 	n.entry = bfentry.New(bfentry.Config{
 		Service: common.Service, Inbound: common.Inbound, Names: names,
 		Traffic: n.traffic, Fleet: n.fleet, Host: n.host, Client: n.nodes, Pacer: n.pacer,
-		Spawn: n.group.Go, OnMemberLost: n.removeLostMember, Account: account, Quarantine: n.quarantine,
+		Spawn: n.group.Go, OnMemberLost: n.removeLostMember, Account: account, Quarantine: n.quarantine, Rollouts: n.rollouts,
 		Timer: n.timer, Logger: logger, Metrics: n.metrics,
 	})
-	n.store = bfdialect.NewStore(common.PlatformAddress)
+	n.store = bfera.New(bfdialect.NewStore(common.PlatformAddress), logger)
 	n.newStoreFollowers(n.store)
 	n.newNodeCalls()
 	n.publishMetrics()
@@ -168,7 +174,7 @@
 	return bfpacker.Pack(c)
 }
 
-func (n *node) newStoreFollowers(store *bfdialect.Store) {
+func (n *node) newStoreFollowers(store *bfera.Store) {
 	n.presence = bfpresence.New(bfpresence.Config{
 		Table: membersTable, Key: n.common.Inbound, Rows: store, WriteBatched: n.writeBatched,
 		Timer: n.timer, Logger: n.logger, Metrics: n.metrics,
@@ -176,8 +182,9 @@
 	n.batcher = bfbatch.New(bfbatch.Config{Table: membersTable, Rows: store, Timer: n.timer, Logger: n.logger, Spawn: n.group.Go})
 	n.state = &state{
 		logger: n.logger, traffic: n.traffic, fleet: n.fleet, presence: n.presence, self: n.common.Inbound,
-		follows: n.follows, current: n.current, changed: n.stateChanged, restoreTarget: n.restoreTarget,
-		readVersions: func() uint64 { return n.config.Revision() },
+		follows: n.follows, current: n.current, changed: n.stateChanged, restoreTarget: n.restoreTarget, observeEra: store.Observe,
+		storeRestored: n.storeRestored, observeOrder: func(order bfrollout.Order, isNew bool) { n.conductor.Observe(order, isNew) }, ordersKnown: n.rollouts.SetSynced,
+		readVersions: func() bfstore.Revision { return n.config.Revision() },
 	}
 	if n.settings.FirstStart {
 		// The table is empty on the first start: the row can be written without a read.
@@ -213,18 +220,20 @@
 	methods := bfpeer.Methods{}
 	n.calls = bfpeer.NewCalls(methods, bfpeer.NewTraffic(n.metrics), n.group)
 	n.newQuarantineExchange()
+	n.newConductor()
 	n.news = bfnews.New(bfnews.Config{
 		Self: n.common.Peer, Place: place(n.common, n.settings), FirstStart: n.settings.FirstStart, State: n.state,
-		Fleet: n.fleet, Calls: n.calls, Timer: n.timer, Logger: n.logger, Spawn: n.group.Go, Quarantine: n.rumor,
+		Fleet: n.fleet, Calls: n.calls, Timer: n.timer, Logger: n.logger, Spawn: n.group.Go, Quarantine: n.rumor, Rollouts: n.conductor,
 	})
 	maps.Copy(methods, n.news.Methods())
 	maps.Copy(methods, n.rumor.Methods())
+	maps.Copy(methods, n.conductor.Methods())
 	maps.Copy(methods, n.batcher.Methods())
 }
 
 // writeBatched has the row written by the node that batches writes: the fleet's first
 // source, or a seed while the members are unknown on a first start.
-func (n *node) writeBatched(ctx context.Context, write bfstore.RowWrite) (uint64, error) {
+func (n *node) writeBatched(ctx context.Context, write bfstore.RowWrite) (bfstore.Revision, error) {
 	peer := n.news.BatchWriter()
 	if peer == "" && n.settings.FirstStart {
 		peer = n.settings.seedPeer(n.common.Peer)
@@ -255,7 +264,7 @@
 	member := bffleet.Member{
 		Inbound: n.common.Inbound, Peer: n.common.Peer, Service: n.common.Service,
 		Domain: n.common.FailureDomain, Slots: target.Slots(), LinkMbps: int(n.settings.LinkMbps), Instance: n.common.Instance,
-		Incarnation: target.Incarnation(), Address: target.Address(),
+		Incarnation: target.Incarnation(), Address: target.Address(), Version: target.Version(),
 	}
 	if started := target.Started(); !started.IsZero() {
 		member.StartedMilli = started.UnixMilli()
@@ -268,13 +277,20 @@
 	n.presence.SetDesired(value)
 }
 
+// firstEra is the era of a store that was never restored from a copy.
+const firstEra = 1
+
+// storeRestored reports whether the store was ever restored from a copy.
+func (n *node) storeRestored() bool { return n.store.Era() > firstEra }
+
 // restoreTarget restores the target of the node's own row after a restart of the node.
 func (n *node) restoreTarget(own bffleet.Member) {
-	if !own.HasTarget() {
+	if !own.HasTarget() || n.storeRestored() {
+		// After a restore of the store, the row may be older than the target's departure.
 		return
 	}
 	n.host.RestoreTarget(bfhost.Heartbeat{
-		Incarnation: own.Incarnation, Started: own.Started(), Service: own.Service, Address: own.Address,
+		Incarnation: own.Incarnation, Started: own.Started(), Service: own.Service, Address: own.Address, Version: own.Version,
 		Slots: own.Slots, State: bfhost.Ready,
 	})
 }
@@ -360,6 +376,7 @@
 	n.group.Go("news", n.news.Run)
 	n.group.Go("rumor", n.rumor.Run)
 	n.group.Go("backup", n.backup.Run)
+	n.group.Go("roll-outs", n.conductor.Run)
 	n.timer.Every(func() time.Duration { return sweepInterval }, n.sweep)
 	return n.group.Wait()
 }
--- a/bfnode/internal/bfmesh/quarantine.go
+++ b/bfnode/internal/bfmesh/quarantine.go
@@ -17,7 +17,7 @@
 		Recipients: func(own bool) []string { return n.news.Recipients(own) },
 	})
 	n.backup = bfbackup.New(bfbackup.Config{
-		Table: quarantineTable, Rows: n.store, Book: n.quarantine, Restore: n.rumor.Merge, FirstStart: n.settings.FirstStart,
+		Table: quarantineTable, Rows: n.store, Book: n.quarantine, Restore: n.rumor.Merge, Era: n.store.Era, FirstStart: n.settings.FirstStart,
 		IsMaintainer: func() bool { return n.news.IsFirstSource() }, Timer: n.timer, Logger: n.logger,
 	})
 }
--- a/bfnode/internal/bfmesh/settings.go
+++ b/bfnode/internal/bfmesh/settings.go
@@ -18,6 +18,7 @@
 	Seeds      []string            `json:"seeds,omitempty" jsonschema:"description=Addresses of nodes that may be there; their hosts take calls on this node's own peer port."`
 	FirstStart bool                `json:"firstStart,omitempty" jsonschema:"description=Whether the whole fleet starts for the first time: the store holds no member yet."`
 	Repeats    RetryBudget         `json:"repeats" jsonschema:"description=Bound of the repeats that all nodes together send to a service."`
+	Rollouts   *RolloutTerms       `json:"rollouts,omitempty" jsonschema:"description=Limits of roll-outs; by default a share of 0.1 and no slack."`
 }
 
 // RetryBudget bounds the retries that all nodes together send to one service.
@@ -80,6 +81,6 @@
 func Example() MeshSettings {
 	return MeshSettings{
 		Ready: "127.0.0.1:7805", Metrics: "127.0.0.1:7806", Grace: bfsettings.Duration(6 * time.Second), LinkMbps: 1000,
-		Repeats: RetryBudget{Ratio: 0.2, Slack: 64, Window: bfsettings.Duration(10 * time.Second)},
+		Repeats: RetryBudget{Ratio: 0.2, Slack: 64, Window: bfsettings.Duration(10 * time.Second)}, Rollouts: &RolloutTerms{Share: 0.1, Slack: 50},
 	}
 }
--- a/bfnode/internal/bfmesh/state.go
+++ b/bfnode/internal/bfmesh/state.go
@@ -12,6 +12,7 @@
 	"bilberryflow.org/lib/bflog"
 	"bilberryflow.org/lib/bfnews"
 	"bilberryflow.org/lib/bfpresence"
+	"bilberryflow.org/lib/bfrollout"
 	"bilberryflow.org/lib/bfstore"
 	"bilberryflow.org/lib/bftraffic"
 	"bilberryflow.org/platform/bfdialect"
@@ -30,12 +31,20 @@
 	// changed is called after each change, restoreTarget with this node's own row.
 	changed       func()
 	restoreTarget func(bffleet.Member)
+	// observeEra is called with the era of each revision received from another node.
+	observeEra func(era uint64)
+	// storeRestored reports whether the store was restored from a copy.
+	storeRestored func() bool
+	// observeOrder is called with each order of a roll-out that was read, isNew if it was reported as
+	// a change; ordersKnown is called before a configuration is applied.
+	observeOrder func(order bfrollout.Order, isNew bool)
+	ordersKnown  func()
 	// follows reports whether this node's own calls follow the store, current whether the
 	// copy is up to date by these or through another node.
 	follows, current func() bool
 	// readVersions returns the store's revision as of which this node itself read the
 	// versions.
-	readVersions func() uint64
+	readVersions func() bfstore.Revision
 
 	// rejected is the newest rejected version, nil once a newer one is in force.
 	rejected atomic.Pointer[bfinspect.RejectedVersion]
@@ -46,13 +55,14 @@
 	// revision is the store's revision as of which the members are known; confirmedAsOf is
 	// the revision as of which other nodes reported the confirmed version to be the newest
 	// one.
-	revision, confirmedAsOf uint64
+	revision, confirmedAsOf bfstore.Revision
 	confirmed               bftraffic.Version
 }
 
 // applyConfiguration adopts the newest valid version in a batch of the operators'
 // table and skips the older ones, whose decoding would cost CPU time for nothing.
 func (s *state) applyConfiguration(batch bffollow.Batch) {
+	s.applyOrders(batch)
 	for _, entry := range slices.Backward(batch.Entries) {
 		if entry.Key != bfdialect.ConfigurationKey || entry.Removed {
 			continue
@@ -60,7 +70,7 @@
 		spec, err := bfdialect.DecodeConfiguration(entry.Value)
 		if err != nil {
 			s.rejected.Store(&bfinspect.RejectedVersion{Reason: err.Error()})
-			s.logger.Emit(bflog.VersionRefused, bflog.Err(err), slog.Uint64("revision", entry.Revision))
+			s.logger.Emit(bflog.VersionRefused, bflog.Err(err), slog.String("revision", entry.Revision.String()))
 			continue
 		}
 		if s.adoptSpec(spec) {
@@ -69,6 +79,24 @@
 	}
 }
 
+// applyOrders passes on the orders of roll-outs in a batch of the operators' table.
+func (s *state) applyOrders(batch bffollow.Batch) {
+	for _, entry := range batch.Entries {
+		service, ok := bfdialect.RolloutService(entry.Key)
+		if !ok || entry.Removed {
+			continue
+		}
+		order, err := bfdialect.DecodeRolloutOrder(service, entry.Value, entry.Revision)
+		if err != nil {
+			s.logger.Emit(bflog.RolloutOrderRefused, slog.String("service", service), slog.String("revision", entry.Revision.String()), bflog.Err(err))
+			continue
+		}
+		s.logger.Emit(bflog.RolloutOrdered, slog.String("service", service), slog.String("version", order.Version),
+			slog.Duration("duration", order.Duration), slog.String("revision", order.Revision.String()), slog.Bool("change", !batch.Full))
+		s.observeOrder(order, !batch.Full)
+	}
+}
+
 // ApplySpec adopts a configuration if it is newer and valid.
 func (s *state) ApplySpec(spec bftraffic.Spec) { s.adoptSpec(spec) }
 
@@ -108,6 +136,7 @@
 }
 
 func (s *state) adopt(snapshot *bftraffic.Snapshot, how slog.Attr) {
+	s.ordersKnown()
 	if !s.traffic.Adopt(snapshot) {
 		return
 	}
@@ -147,11 +176,11 @@
 		}
 	}
 	s.mu.Lock()
-	if batch.Revision >= s.revision {
+	if held := s.revision; batch.Revision >= held {
 		s.revision = batch.Revision
 		s.membersUpdated.set()
 		if batch.Full {
-			s.fleet.Replace(members)
+			s.fleet.Replace(s.withUnwritten(members, held, batch.Revision))
 		} else {
 			s.fleet.Change(members, removed)
 		}
@@ -164,11 +193,42 @@
 	}
 }
 
+// withUnwritten adds to a full list of members those that are held but missing in it, if the
+// store has begun another era since the held revision. Their rows were lost with the restore and
+// are written again by their nodes; until then their targets keep receiving requests.
+func (s *state) withUnwritten(members []bffleet.Member, held, listed bfstore.Revision) []bffleet.Member {
+	if held == 0 || held.Era() == listed.Era() {
+		return members
+	}
+	present := make(map[string]bool, len(members))
+	for _, m := range members {
+		present[m.Inbound] = true
+	}
+	for _, m := range s.fleet.Members() {
+		if !present[m.Inbound] {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+// DropUnwritten removes a member whose row was lost with a restore of the store and whose node is
+// unreachable: there is no row to remove. It reports false if the member has a row.
+func (s *state) DropUnwritten(member bffleet.Member) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if held, found := s.fleet.Member(member.Inbound); !found || held != member || member.Revision.Era() >= s.revision.Era() {
+		return false
+	}
+	s.fleet.Change(nil, []string{member.Inbound})
+	return true
+}
+
 // Version returns the version in force.
 func (s *state) Version() bftraffic.Version { return s.traffic.Version() }
 
 // Revision returns the store's revision as of which the members are known.
-func (s *state) Revision() uint64 {
+func (s *state) Revision() bfstore.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.revision
@@ -191,26 +251,30 @@
 
 // ApplyRoster replaces the members by another node's if those are of a later revision.
 func (s *state) ApplyRoster(roster bfnews.Roster) {
-	s.applyFromPeer(roster.Revision, func(held uint64) bool { return roster.Revision > held }, func() { s.fleet.Replace(roster.Members) })
+	s.applyFromPeer(roster.Revision, func(held bfstore.Revision) bool { return roster.Revision > held }, func(held bfstore.Revision) {
+		s.fleet.Replace(s.withUnwritten(roster.Members, held, roster.Revision))
+	})
 }
 
 // ApplyMembersDelta applies the changes of another node's members if they apply to the
 // revision held.
 func (s *state) ApplyMembersDelta(delta bfnews.MembersDelta) {
-	s.applyFromPeer(delta.Revision, delta.AppliesTo, func() { s.fleet.Change(delta.Changed, delta.Gone) })
+	s.applyFromPeer(delta.Revision, delta.AppliesTo, func(bfstore.Revision) { s.fleet.Change(delta.Changed, delta.Gone) })
 }
 
 // applyFromPeer applies another node's members as of a revision if fits accepts the
 // revision held.
-func (s *state) applyFromPeer(revision uint64, fits func(held uint64) bool, apply func()) {
+func (s *state) applyFromPeer(revision bfstore.Revision, fits func(held bfstore.Revision) bool, apply func(held bfstore.Revision)) {
+	s.observeEra(revision.Era())
 	s.mu.Lock()
-	if !fits(s.revision) {
+	held := s.revision
+	if !fits(held) {
 		s.mu.Unlock()
 		return
 	}
 	s.revision = revision
 	s.membersUpdated.set()
-	apply()
+	apply(held)
 	s.mu.Unlock()
 	s.changed()
 	s.logger.Emit(bflog.FleetChanged, slog.Int("members", s.fleet.Size()), slog.Bool("from_peer", true))
@@ -224,9 +288,9 @@
 // It doesn't restore the target. The other node's members may be older than the
 // removal of the row, and a target that has left would get new requests until it is
 // found gone.
-func (s *state) observeOwnRow(revision uint64) {
+func (s *state) observeOwnRow(revision bfstore.Revision) {
 	own, found := s.fleet.Member(s.self)
-	if !found {
+	if !found || own.Revision.Era() != revision.Era() {
 		s.presence.Observe(bfstore.Entry{Key: s.self, Removed: true, Revision: revision})
 		return
 	}
@@ -242,7 +306,7 @@
 
 // VersionAsOf returns the store's revision as of which the version in force is the
 // newest.
-func (s *state) VersionAsOf() uint64 {
+func (s *state) VersionAsOf() bfstore.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	read := s.readVersions()
@@ -254,7 +318,7 @@
 
 // ConfirmVersion records another node's report that a version is the newest one as of
 // a revision.
-func (s *state) ConfirmVersion(version bftraffic.Version, revision uint64) {
+func (s *state) ConfirmVersion(version bftraffic.Version, revision bfstore.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if version > s.confirmed || version == s.confirmed && revision > s.confirmedAsOf {
@@ -265,5 +329,8 @@
 // Current reports whether the state is up to date with the store.
 func (s *state) Current() bool { return s.current() }
 
+// StoreRestored reports whether the store was restored from a copy.
+func (s *state) StoreRestored() bool { return s.storeRestored() }
+
 // Follows reports whether this node's own calls follow the store now.
 func (s *state) Follows() bool { return s.follows() }
--- a/bfnode/internal/bfmesh/state_test.go
+++ b/bfnode/internal/bfmesh/state_test.go
@@ -20,12 +20,12 @@
 func newState() *state {
 	fleet := bffleet.New(bffleet.Place{Inbound: "self", Domain: "nord"})
 	return &state{
-		logger: bflog.Discard(), traffic: bftraffic.NewHolder(nil), fleet: fleet, self: "self", changed: func() {}, restoreTarget: func(bffleet.Member) {},
+		logger: bflog.Discard(), traffic: bftraffic.NewHolder(nil), fleet: fleet, self: "self", changed: func() {}, restoreTarget: func(bffleet.Member) {}, observeEra: func(uint64) {}, storeRestored: func() bool { return false }, ordersKnown: func() {},
 		presence: bfpresence.New(bfpresence.Config{Logger: bflog.Discard(), Metrics: bfmetric.New()}),
 	}
 }
 
-func row(t *testing.T, inbound string, revision uint64) bfstore.Entry {
+func row(t *testing.T, inbound string, revision bfstore.Revision) bfstore.Entry {
 	t.Helper()
 	value, err := bffleet.Member{Inbound: inbound, Peer: "10.0.0.9:2", Service: "vault", Domain: "nord", Slots: 9}.Encode()
 	if err != nil {
@@ -44,7 +44,7 @@
 	is.Equal(s.fleet.Size(), 2)
 	s.applyMembers(bffollow.Batch{Full: true, Entries: []bfstore.Entry{row(t, "a:1", 4)}, Revision: 12})
 	is.Equal(s.fleet.Size(), 1)
-	is.Equal(s.Revision(), uint64(12))
+	is.Equal(s.Revision(), bfstore.Revision(12))
 }
 
 // A change arrives from the store after a peer's newer list that already contains it.
@@ -85,6 +85,56 @@
 	}
 }
 
+// Guards against members that lose all requests when the store is restored from a copy that lacks
+// their rows, whether the list comes from the store or from a peer, and against a peer's delta
+// between two eras.
+func TestMembersSurviveARestoreOfTheStore(t *testing.T) {
+	before, after := bfstore.RevisionOf(1, 90), bfstore.RevisionOf(2, 40)
+	list := func(entries ...bfstore.Entry) bffollow.Batch {
+		return bffollow.Batch{Full: true, Entries: entries, Revision: entries[0].Revision}
+	}
+	for name, update := range map[string]func(*state){
+		"store": func(s *state) { s.applyMembers(list(row(t, "10.0.0.1:1", after))) },
+		"peer": func(s *state) {
+			s.ApplyRoster(bfnews.Roster{Revision: after, Members: []bffleet.Member{{Inbound: "10.0.0.1:1", Service: "vault", Revision: after}}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newState()
+			s.applyMembers(list(row(t, "10.0.0.2:1", before), row(t, "10.0.0.1:1", before)))
+			s.ApplyMembersDelta(bfnews.MembersDelta{Base: before, Revision: after, Gone: []string{"10.0.0.2:1"}})
+			is.Equal(s.fleet.Size(), 2) // the delta between eras is not applied
+			update(s)
+			is.Equal(s.Revision(), after)
+			is.Equal(s.fleet.Size(), 2)
+			unwritten, _ := s.fleet.Member("10.0.0.2:1")
+			is.Equal(unwritten.Revision, before)
+			written, _ := s.fleet.Member("10.0.0.1:1")
+			is.True(!s.DropUnwritten(written))
+			is.True(s.DropUnwritten(unwritten)) // unreachable: it has no row that could be removed
+			is.Equal(s.fleet.Size(), 1)
+			s.applyMembers(bffollow.Batch{Full: true, Entries: nil, Revision: bfstore.RevisionOf(2, 41)})
+			is.Equal(s.fleet.Size(), 0) // within an era a full list is complete
+		})
+	}
+}
+
+// Guards against a row of this node that stays lost after a restore of the store, where the node
+// receives the members from a peer that still lists it.
+func TestOwnRowIsWrittenAgainAfterARestore(t *testing.T) {
+	is := is.New(t)
+	s := newState()
+	own := bffleet.Member{Inbound: s.self, Service: "vault", Revision: bfstore.RevisionOf(1, 90)}
+	value, err := bffleet.Member{Inbound: s.self, Service: "vault"}.Encode()
+	is.NoErr(err)
+	s.presence.SetDesired(value)
+	s.ApplyRoster(bfnews.Roster{Revision: bfstore.RevisionOf(1, 90), Members: []bffleet.Member{own}})
+	is.True(s.presence.InSync())
+	s.ApplyRoster(bfnews.Roster{Revision: bfstore.RevisionOf(2, 40), Members: []bffleet.Member{own}})
+	is.True(!s.presence.InSync())
+}
+
 // version returns the operators' row for a configuration with one route to the given
 // service; only the service "s" exists in it.
 func version(t *testing.T, number int, kind bftraffic.Kind, service string) bfstore.Entry {
@@ -99,7 +149,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return bfstore.Entry{Key: bfdialect.ConfigurationKey, Value: value, Revision: uint64(number)}
+	return bfstore.Entry{Key: bfdialect.ConfigurationKey, Value: value, Revision: bfstore.Revision(number)}
 }
 
 // An operators' row is undecodable or its configuration invalid. The version in force
--- a/bfplatform/internal/bfcommand/command.go
+++ b/bfplatform/internal/bfcommand/command.go
@@ -63,6 +63,17 @@
 		service.ServeHTTP(w, r)
 	})
 	mux.HandleFunc("/configuration", rows.Operate)
+	mux.HandleFunc("GET /rollout/{service}", rows.OperateRollout)
+	mux.HandleFunc("PUT /rollout/{service}", rows.OperateRollout)
+	mux.HandleFunc("POST /restore", func(w http.ResponseWriter, r *http.Request) {
+		age, err := time.ParseDuration(r.URL.Query().Get("age"))
+		if err != nil || age < 0 {
+			http.Error(w, "age: a duration, at least 0s", http.StatusBadRequest)
+			return
+		}
+		rows.Restore(age)
+		w.WriteHeader(http.StatusNoContent)
+	})
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("POST /faults", func(w http.ResponseWriter, r *http.Request) { addFault(faults, w, r) })
 	mux.HandleFunc("DELETE /faults", func(w http.ResponseWriter, _ *http.Request) {
--- a/bfplatform/internal/bfservice/rows.go
+++ b/bfplatform/internal/bfservice/rows.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -26,19 +28,60 @@
 	reads   *rate.Limiter
 	writes  *rate.Limiter
 	calls   *bfmetric.Counter
+	// copies are the store's past states, oldest first.
+	copiesMu sync.Mutex
+	copies   []rowsCopy
 }
 
+// rowsCopy is the state of the store at a time.
+type rowsCopy struct {
+	at     time.Time
+	backup bfstore.Backup
+}
+
+const (
+	// copyInterval is the time between two copies of the store, and maxCopies the number that is kept.
+	copyInterval = 200 * time.Millisecond
+	maxCopies    = 100
+)
+
 // NewRows returns a handler with an empty store; the rates are calls per second.
 func NewRows(faults *bffault.Injector, group *bfgroup.Group, readRate, writeRate int, metrics *bfmetric.Registry) *Rows {
 	start := time.Now()
 	rows := bfstore.NewMemoryTableStore()
-	return &Rows{
+	s := &Rows{
 		rows: rows, faults: faults, group: group,
-		handler: bfdialect.RowsHandler{Rows: rows, Now: func() time.Duration { return time.Since(start) }},
+		handler: bfdialect.RowsHandler{Rows: rows, Now: func() time.Duration { return time.Since(start) }, Era: rows.Era},
 		reads:   rate.NewLimiter(rate.Limit(readRate), readRate),
 		writes:  rate.NewLimiter(rate.Limit(writeRate), writeRate),
 		calls:   metrics.Counter("rows_calls"),
 	}
+	group.Go("copies of the store", s.keepCopies)
+	return s
+}
+
+// keepCopies copies the store until ctx ends.
+func (s *Rows) keepCopies(ctx context.Context) error {
+	for ctx.Err() == nil {
+		s.copiesMu.Lock()
+		s.copies = append(s.copies, rowsCopy{time.Now(), s.rows.Backup()})
+		s.copies = s.copies[max(len(s.copies)-maxCopies, 0):]
+		s.copiesMu.Unlock()
+		wait(ctx, copyInterval)
+	}
+	return nil
+}
+
+// Restore replaces the store by its newest copy of at least an age, which begins the store's next
+// era. What was written since is lost.
+func (s *Rows) Restore(age time.Duration) {
+	s.copiesMu.Lock()
+	defer s.copiesMu.Unlock()
+	at := len(s.copies) - 1
+	for at > 0 && time.Since(s.copies[at].at) < age {
+		at--
+	}
+	s.rows.Restore(s.copies[at].backup)
 }
 
 // ServeHTTP serves one call, subject to the rate limits and the active faults.
@@ -127,14 +170,51 @@
 }
 
 func (s *Rows) writeConfiguration(ctx context.Context, data []byte) error {
-	entries, _, err := s.rows.List(ctx, bfdialect.ConfigurationTable)
-	if err != nil {
-		return err
+	return s.put(ctx, bfdialect.ConfigurationKey, data)
+}
+
+// put writes a row of the operator's table.
+func (s *Rows) put(ctx context.Context, key string, value []byte) error {
+	row, _ := s.row(ctx, bfdialect.ConfigurationTable, key)
+	_, err := s.rows.Put(ctx, bfdialect.ConfigurationTable, key, value, row.Revision)
+	return err
+}
+
+// row returns a row; found is false if it does not exist.
+func (s *Rows) row(ctx context.Context, table, key string) (row bfstore.Entry, found bool) {
+	// List of a store in memory has no errors.
+	entries, _, _ := s.rows.List(ctx, table)
+	at := slices.IndexFunc(entries, func(e bfstore.Entry) bool { return e.Key == key })
+	if at < 0 {
+		return bfstore.Entry{}, false
 	}
-	revision := uint64(0)
-	if len(entries) > 0 {
-		revision = entries[0].Revision
+	return entries[at], true
+}
+
+// OperateRollout serves the operator's calls for the roll-out of the service in the path: PUT
+// writes an order, GET reads the status.
+func (s *Rows) OperateRollout(w http.ResponseWriter, r *http.Request) {
+	service := r.PathValue("service")
+	if r.Method == http.MethodGet {
+		row, found := s.row(r.Context(), bfdialect.StatusTable, bfdialect.RolloutKey(service))
+		if !found {
+			http.Error(w, "no status", http.StatusNotFound)
+			return
+		}
+		// A write error means that the operator closed the connection.
+		_, _ = w.Write(row.Value)
+		return
 	}
-	_, err = s.rows.Put(ctx, bfdialect.ConfigurationTable, bfdialect.ConfigurationKey, data, revision)
-	return err
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err == nil {
+		_, err = bfdialect.DecodeRolloutOrder(service, data, 0)
+	}
+	if err == nil {
+		err = s.put(r.Context(), bfdialect.RolloutKey(service), data)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
 }
--- a/bftrial/internal/bffleet/mesh.go
+++ b/bftrial/internal/bffleet/mesh.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+	"time"
 )
 
 // MeshSettings is the settings file of a bfnode whose configuration is stored on the platform.
@@ -45,7 +46,8 @@
 	settings.Platform = map[string]string{"address": store}
 	settings.Mesh = map[string]any{
 		"ready": f.ports.next(), "grace": "6s", "linkMbps": 1000,
-		"repeats": map[string]any{"ratio": 0.2, "slack": 60, "window": "10s"},
+		"repeats":  map[string]any{"ratio": 0.2, "slack": 60, "window": "10s"},
+		"rollouts": map[string]any{"share": 0.1, "slack": 50},
 	}
 	file, err := f.writeSettings(settings.Instance, settings)
 	if err != nil {
@@ -71,14 +73,38 @@
 
 // WriteConfiguration writes a configuration to the store, as the platform's operators do.
 func (f *Fleet) WriteConfiguration(configuration []byte) error {
-	return f.sendConfiguration(http.MethodPut, configuration)
+	return f.operate(http.MethodPut, "/configuration", configuration)
+}
+
+// RestoreStore replaces the stand-in store by a copy of an age.
+func (f *Fleet) RestoreStore(age time.Duration) error {
+	return f.operate(http.MethodPost, "/restore?age="+age.String(), nil)
+}
+
+// OrderRollout writes the order of a service's roll-out to the store, as the platform's operators do.
+func (f *Fleet) OrderRollout(service string, order []byte) error {
+	return f.operate(http.MethodPut, "/rollout/"+service, order)
+}
+
+// RolloutStatus returns the status of a service's roll-out, nothing if there is none.
+func (f *Fleet) RolloutStatus(service string) ([]byte, error) {
+	response, err := f.client.Get(f.PlatformURL() + "/rollout/" + service)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, nil
+	}
+	return io.ReadAll(response.Body)
 }
 
 // DropHistory deletes the change history of the stand-in store.
-func (f *Fleet) DropHistory() error { return f.sendConfiguration(http.MethodDelete, nil) }
+func (f *Fleet) DropHistory() error { return f.operate(http.MethodDelete, "/configuration", nil) }
 
-func (f *Fleet) sendConfiguration(method string, body []byte) error {
-	request, err := http.NewRequest(method, f.PlatformURL()+"/configuration", bytes.NewReader(body))
+// operate makes an operator's call to the stand-in store.
+func (f *Fleet) operate(method, path string, body []byte) error {
+	request, err := http.NewRequest(method, f.PlatformURL()+path, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -89,7 +115,7 @@
 	defer response.Body.Close()
 	answer, err := io.ReadAll(response.Body)
 	if err == nil && response.StatusCode != http.StatusNoContent {
-		err = fmt.Errorf("%s of the configuration on the platform: unexpected status %d: %s", method, response.StatusCode, answer)
+		err = fmt.Errorf("%s %s on the platform: unexpected status %d: %s", method, path, response.StatusCode, answer)
 	}
 	return err
 }
--- a/bftrial/internal/bfsoak/check.go
+++ b/bftrial/internal/bfsoak/check.go
@@ -97,7 +97,7 @@
 
 // anyUnplannedFault reports whether any node had an unplanned fault during the request.
 func (h *harness) anyUnplannedFault(o outcome) bool {
-	for _, n := range h.nodes {
+	for _, n := range h.allNodes() {
 		if n.hadFault(o.began, o.ended, false) {
 			return true
 		}
--- a/bftrial/internal/bfsoak/client.go
+++ b/bftrial/internal/bfsoak/client.go
@@ -51,10 +51,10 @@
 func (h *harness) runCaller(ctx context.Context) error {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}}
 	defer client.CloseIdleConnections()
-	node := h.nodes[rand.IntN(len(h.nodes))]
+	node := h.allNodes()[rand.IntN(len(h.allNodes()))]
 	for ctx.Err() == nil {
 		if rand.IntN(20) == 0 || !node.ready.Load() {
-			node = h.nodes[rand.IntN(len(h.nodes))]
+			node = h.allNodes()[rand.IntN(len(h.allNodes()))]
 		}
 		idempotent := rand.IntN(3) > 0
 		h.outcomes.add(h.sendRequest(ctx, client, node, idempotent, "vault"))
--- a/bftrial/internal/bfsoak/crashing.go
+++ b/bftrial/internal/bfsoak/crashing.go
@@ -60,7 +60,7 @@
 	client := &http.Client{}
 	defer client.CloseIdleConnections()
 	for began := time.Now(); time.Since(began) < length; {
-		node := h.nodes[rand.IntN(len(h.nodes))]
+		node := h.allNodes()[rand.IntN(len(h.allNodes()))]
 		h.outcomes.add(h.sendRequestTo(context.Background(), client, node, newID(), http.MethodGet, path))
 		time.Sleep(time.Duration(50+rand.IntN(150)) * time.Millisecond)
 	}
@@ -72,18 +72,18 @@
 
 // killFleet kills all nodes at once and restarts them.
 func (h *harness) killFleet(_ *nodeSlot, length time.Duration) {
-	for _, n := range h.nodes {
+	for _, n := range h.allNodes() {
 		n.mu.Lock()
 	}
 	began := time.Now()
-	for _, n := range h.nodes {
+	for _, n := range h.allNodes() {
 		h.checkError("kill of a node", n.process.Process().Kill())
 	}
 	time.Sleep(length / 4)
-	for _, n := range h.nodes {
+	for _, n := range h.allNodes() {
 		h.checkError("restart", h.fleet.RestartMeshNode(n.process))
 	}
-	for _, n := range h.nodes {
+	for _, n := range h.allNodes() {
 		n.addFaultPeriod(faultPeriod{began, time.Now(), false})
 		n.mu.Unlock()
 	}
@@ -125,9 +125,9 @@
 	panic(http.ErrAbortHandler)
 }
 
-// startTarget starts a node's target, and restarts it after a crash.
-func (h *harness) startTarget(n *nodeSlot) (*incarnation, error) {
-	return startTarget(h.group, h.runLog, n, func(t *incarnation) {
+// startTarget starts a node's target of a version, and restarts it after a crash.
+func (h *harness) startTarget(n *nodeSlot, version string) (*incarnation, error) {
+	return startTarget(h.group, h.runLog, n, version, func(t *incarnation) {
 		h.group.Go("restart a target", func(context.Context) error {
 			time.Sleep(minRestartDelay + time.Duration(rand.Int64N(int64(minRestartDelay))))
 			n.targetMu.Lock()
@@ -135,7 +135,7 @@
 			if n.target != t {
 				return nil
 			}
-			next, err := h.startTarget(n)
+			next, err := h.startTarget(n, version)
 			h.checkError("restart of a target", err)
 			if err == nil {
 				n.target = next
--- a/bftrial/internal/bfsoak/faults.go
+++ b/bftrial/internal/bfsoak/faults.go
@@ -35,6 +35,7 @@
 	{"store loses answers", platformFault("lose-answers")},
 	{"store writes late", platformFault("late-writes")},
 	{"store drops history", (*harness).dropHistory},
+	{storeRestored, (*harness).restoreStore},
 	{"target silent", targetFault(silent)},
 	{"target reset", (*harness).resetTarget},
 	{"target slow", (*harness).slowTarget},
@@ -53,6 +54,8 @@
 var scenarios = []fault{
 	crashing,
 	{fleetKilled, (*harness).killFleetBetweenCrashes},
+	{goodRollout, (*harness).rollOutGoodVersion},
+	{badRollout, (*harness).rollOutBadVersion},
 }
 
 // runFaults injects overlapping faults while callers send requests.
@@ -91,7 +94,7 @@
 	started := 0
 	for time.Since(began) < h.options.Faults {
 		f := candidates[h.rand.IntN(len(candidates))]
-		n := h.nodes[h.rand.IntN(len(h.nodes))]
+		n := h.allNodes()[h.rand.IntN(len(h.allNodes()))]
 		length := time.Duration(200+h.rand.IntN(2500)) * time.Millisecond
 		fmt.Fprintf(h.out, "%6.2f %s %s %v\n", time.Since(began).Seconds(), f.name, n.process.Settings().Instance, length)
 		started++
@@ -110,7 +113,7 @@
 func (h *harness) injectScenario() {
 	for _, f := range scenarios {
 		if f.name == h.options.Only {
-			f.run(h, h.nodes[h.rand.IntN(len(h.nodes))], h.options.Faults)
+			f.run(h, h.allNodes()[h.rand.IntN(len(h.allNodes()))], h.options.Faults)
 			return
 		}
 	}
@@ -208,6 +211,22 @@
 	h.withStoreFault(func() { h.checkError("drop history", h.fleet.DropHistory()) })
 }
 
+// storeRestored is the name of the fault in which the store comes back from an older copy.
+const storeRestored = "store restored"
+
+// restoreStore takes the store away and brings it back from a copy that is as old as length. The
+// operator then writes again what it had written.
+func (h *harness) restoreStore(_ *nodeSlot, length time.Duration) {
+	h.withStoreFault(func() {
+		const away = 300 * time.Millisecond
+		h.checkError("platform fault", h.fleet.EnableFault(bffleet.Fault{Mode: "down", For: away.String()}))
+		time.Sleep(away / 2)
+		h.checkError("restore", h.fleet.RestoreStore(length))
+		time.Sleep(away)
+		h.checkError("write again", h.writeVersionAgain())
+	})
+}
+
 func (n *nodeSlot) withTargetFault(fault func(t *incarnation)) {
 	n.targetMu.Lock()
 	defer n.targetMu.Unlock()
@@ -259,7 +278,7 @@
 	defer n.targetMu.Unlock()
 	n.withFault(true, func() {
 		n.target.stop(h.group.Context(), length > time.Second)
-		next, err := h.startTarget(n)
+		next, err := h.startTarget(n, n.target.version)
 		h.checkError("start of a target", err)
 		if err == nil {
 			n.target = next
@@ -276,7 +295,7 @@
 	client := &http.Client{}
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
-		for _, n := range h.nodes {
+		for _, n := range h.allNodes() {
 			h.checkNodeVersion(ctx, client, n)
 		}
 		time.Sleep(50 * time.Millisecond)
--- a/bftrial/internal/bfsoak/harness.go
+++ b/bftrial/internal/bfsoak/harness.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -95,11 +96,13 @@
 
 // harness is the state of one soak.
 type harness struct {
-	options  Options
-	rand     *rand.Rand
-	out      io.Writer
-	fleet    *bffleet.Fleet
-	group    *bfgroup.Group
+	options Options
+	rand    *rand.Rand
+	out     io.Writer
+	fleet   *bffleet.Fleet
+	group   *bfgroup.Group
+	// nodes is replaced, never changed, under nodesMu.
+	nodesMu  sync.Mutex
 	nodes    []*nodeSlot
 	runLog   *runLog
 	outcomes outcomeLog
@@ -117,6 +120,13 @@
 	violations []string
 }
 
+// allNodes returns the nodes that have been started.
+func (h *harness) allNodes() []*nodeSlot {
+	h.nodesMu.Lock()
+	defer h.nodesMu.Unlock()
+	return h.nodes
+}
+
 func (h *harness) addViolation(format string, values ...any) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -166,7 +176,10 @@
 	return h.awaitServing(30 * time.Second)
 }
 
-func (h *harness) startNode(i int) error {
+func (h *harness) startNode(i int) error { return h.startNodeWith(i, oldVersion, 0) }
+
+// startNodeWith starts a node with a target of a version that fails a share of its runs.
+func (h *harness) startNodeWith(i int, version string, failedPercent int32) error {
 	store, err := newProxy(h.group, h.fleet.StoreAddress())
 	if err != nil {
 		return err
@@ -178,10 +191,13 @@
 		return err
 	}
 	n := &nodeSlot{process: process, store: store}
-	if n.target, err = h.startTarget(n); err != nil {
+	if n.target, err = h.startTarget(n, version); err != nil {
 		return err
 	}
-	h.nodes = append(h.nodes, n)
+	n.target.failedPercent.Store(failedPercent)
+	h.nodesMu.Lock()
+	defer h.nodesMu.Unlock()
+	h.nodes = append(slices.Clone(h.nodes), n)
 	return nil
 }
 
@@ -190,6 +206,23 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	next := h.version + 1
+	if err := h.writeVersion(next); err != nil {
+		return err
+	}
+	h.version = next
+	h.committed[next] = time.Now()
+	return nil
+}
+
+// writeVersionAgain writes the newest version again.
+func (h *harness) writeVersionAgain() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.writeVersion(h.version)
+}
+
+// writeVersion writes a version; h.mu must be held.
+func (h *harness) writeVersion(next bftraffic.Version) error {
 	spec := bftraffic.Spec{Version: next, Services: []bftraffic.ServiceSpec{{Name: "vault", MaxConns: 100}}}
 	add := func(prefix string, kind bftraffic.Kind) {
 		spec.Routes = append(spec.Routes, bftraffic.RouteSpec{
@@ -203,22 +236,17 @@
 		add(fmt.Sprintf("/look-v%d/", v), bftraffic.Idempotent)
 	}
 	data, err := bfdialect.EncodeConfiguration(spec)
-	if err == nil {
-		err = h.fleet.WriteConfiguration(data)
-	}
 	if err != nil {
 		return err
 	}
-	h.version = next
-	h.committed[next] = time.Now()
-	return nil
+	return h.fleet.WriteConfiguration(data)
 }
 
 // pollReadiness polls the readiness of each node, as the platform does.
 func (h *harness) pollReadiness(ctx context.Context) error {
 	client := &http.Client{Timeout: 500 * time.Millisecond}
 	for ctx.Err() == nil {
-		for _, n := range h.nodes {
+		for _, n := range h.allNodes() {
 			response, err := client.Get("http://" + n.process.ReadyAddress() + bfdialect.ReadyPath)
 			if err == nil {
 				response.Body.Close()
@@ -235,7 +263,7 @@
 	client := &http.Client{}
 	defer client.CloseIdleConnections()
 	deadline := time.Now().Add(limit)
-	for _, n := range h.nodes {
+	for _, n := range h.allNodes() {
 		for {
 			h.mu.Lock()
 			route := fmt.Sprintf("v%d", h.version)
--- a/bftrial/internal/bfsoak/soak_test.go
+++ b/bftrial/internal/bfsoak/soak_test.go
@@ -48,6 +48,17 @@
 	soak(t, Options{Binaries: build(t), Seed: 1, Nodes: 6, Callers: 12, Faults: 3 * time.Second, Only: fleetKilled})
 }
 
+// Guards against a good version that is not completed in time, or loses requests, where the store
+// comes back from a copy that lacks the order.
+func TestGoodVersionIsRolledOut(t *testing.T) {
+	soak(t, Options{Binaries: build(t), Seed: 1, Nodes: 5, Callers: 24, Faults: 12 * time.Second, Only: goodRollout})
+}
+
+// Guards against a bad version that receives more than its share, or requests after its withdrawal.
+func TestBadVersionIsRolledBack(t *testing.T) {
+	soak(t, Options{Binaries: build(t), Seed: 1, Nodes: 5, Callers: 24, Faults: 12 * time.Second, Only: badRollout})
+}
+
 // build compiles the programs that a soak runs and returns their directory.
 func build(t *testing.T) string {
 	t.Helper()
--- a/bftrial/internal/bfsoak/target.go
+++ b/bftrial/internal/bfsoak/target.go
@@ -27,6 +27,8 @@
 	mu sync.Mutex
 	// runs counts the runs of each request.
 	runs map[string]int
+	// versionRuns counts the runs by version of the target.
+	versionRuns map[string]int
 	// lastRun is when each incarnation last started running a request.
 	lastRun map[string]time.Time
 	// departed is when the departure of an incarnation was acknowledged.
@@ -36,13 +38,14 @@
 }
 
 func newRunLog() *runLog {
-	return &runLog{runs: map[string]int{}, lastRun: map[string]time.Time{}, departed: map[string]time.Time{}, crashing: map[string][]crashingRun{}}
+	return &runLog{runs: map[string]int{}, versionRuns: map[string]int{}, lastRun: map[string]time.Time{}, departed: map[string]time.Time{}, crashing: map[string][]crashingRun{}}
 }
 
-func (l *runLog) recordRun(id, incarnation string) {
+func (l *runLog) recordRun(id, incarnation, version string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.runs[id]++
+	l.versionRuns[version]++
 	l.lastRun[incarnation] = time.Now()
 }
 
@@ -72,6 +75,7 @@
 	proxy    *proxy
 	reports  bfdialect.ReportSender
 	service  string
+	version  string
 	node     *nodeSlot
 	inFlight atomic.Int32
 	state    atomic.Int32
@@ -81,12 +85,14 @@
 	endOnce sync.Once
 	// lostPercent is the percentage of responses dropped after the run, duplicatedPercent that of responses sent twice.
 	lostPercent, duplicatedPercent atomic.Int32
+	// failedPercent is the percentage of runs that end with an error.
+	failedPercent atomic.Int32
 }
 
 var incarnations atomic.Int64
 
 // startTarget starts a new incarnation at a node.
-func startTarget(group *bfgroup.Group, log *runLog, node *nodeSlot, crashed func(*incarnation)) (*incarnation, error) {
+func startTarget(group *bfgroup.Group, log *runLog, node *nodeSlot, version string, crashed func(*incarnation)) (*incarnation, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -96,7 +102,7 @@
 		return nil, err
 	}
 	t := &incarnation{
-		id: fmt.Sprintf("i-%d", incarnations.Add(1)), runLog: log, proxy: p, service: service, node: node,
+		id: fmt.Sprintf("i-%d", incarnations.Add(1)), runLog: log, proxy: p, service: service, node: node, version: version,
 		reports: bfdialect.ReportSender{NodeAddress: node.process.Settings().Listen.Target, Client: &http.Client{Timeout: time.Second}},
 	}
 	t.crashed = func() { crashed(t) }
@@ -117,7 +123,7 @@
 		state := bfhost.State(t.state.Load())
 		err := t.reports.SendHeartbeat(ctx, bfhost.Heartbeat{
 			Incarnation: t.id, Sequence: t.sequence.Add(1), Service: t.service, Address: t.proxy.address(),
-			Slots: targetSlots, State: state,
+			Slots: targetSlots, State: state, Version: t.version,
 		})
 		if err == nil && state == bfhost.Draining {
 			t.runLog.recordDeparture(t.id)
@@ -143,7 +149,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	t.runLog.recordRun(id, t.id)
+	t.runLog.recordRun(id, t.id, t.version)
 	if content := crashingContent(r.URL.Path); content != "" {
 		t.crash(content)
 	}
@@ -155,6 +161,9 @@
 		panic(http.ErrAbortHandler)
 	case draw < t.lostPercent.Load()+t.duplicatedPercent.Load():
 		t.respondTwice(w, id, body)
+	case rand.Int32N(100) < t.failedPercent.Load():
+		w.Header().Set(signatureHeader, "of "+id)
+		w.WriteHeader(http.StatusInternalServerError)
 	default:
 		w.Header().Set(signatureHeader, "of "+id)
 		_, _ = io.WriteString(w, body)
--- a/bftrial/internal/bfsoak/trace_test.go
+++ b/bftrial/internal/bfsoak/trace_test.go
@@ -71,7 +71,7 @@
 	deadline := time.Now().Add(5 * time.Second)
 	for {
 		directory := t.TempDir()
-		for _, n := range h.nodes {
+		for _, n := range h.allNodes() {
 			path := filepath.Join(directory, n.process.Settings().Instance+".log")
 			if err := os.WriteFile(path, []byte(n.process.Process().Log()), 0o600); err != nil {
 				t.Fatal(err)
@@ -107,15 +107,15 @@
 // of targets tried, and the retry time sent to the caller.
 func TestTraceOfARefusedRequest(t *testing.T) {
 	h := newHarness(t, 1)
-	h.nodes[0].target.proxy.set(pass, 400*time.Millisecond)
+	h.allNodes()[0].target.proxy.set(pass, 400*time.Millisecond)
 	for range targetSlots {
 		h.group.Go("spike", func(ctx context.Context) error {
-			h.sendRequest(ctx, &http.Client{}, h.nodes[0], false, "vault")
+			h.sendRequest(ctx, &http.Client{}, h.allNodes()[0], false, "vault")
 			return nil
 		})
 	}
 	time.Sleep(200 * time.Millisecond)
-	refused := h.sendRequest(context.Background(), &http.Client{}, h.nodes[0], true, "vault")
+	refused := h.sendRequest(context.Background(), &http.Client{}, h.allNodes()[0], true, "vault")
 	if refused.status != http.StatusServiceUnavailable {
 		t.Fatalf("status %d, %v", refused.status, refused.err)
 	}
@@ -126,7 +126,7 @@
 // name the node that had the request and how the connection ended.
 func TestTraceOfALostRequest(t *testing.T) {
 	h := newHarness(t, 2)
-	entry, killed := h.nodes[0], h.nodes[1]
+	entry, killed := h.allNodes()[0], h.allNodes()[1]
 	entry.target.stop(context.Background(), true)
 	killed.target.proxy.set(pass, 400*time.Millisecond)
 	outcomes := make(chan outcome, 1)
@@ -149,11 +149,11 @@
 // was spent.
 func TestTraceOfALateRequest(t *testing.T) {
 	h := newHarness(t, 1)
-	h.nodes[0].target.proxy.set(pass, 250*time.Millisecond)
+	h.allNodes()[0].target.proxy.set(pass, 250*time.Millisecond)
 	for responseBody(nextID()) != "answer to "+nextID()+"\n" {
 		requests.Add(1) // the proxy delays each chunk, so a long response would exceed the route's timeout
 	}
-	late := h.sendRequest(context.Background(), &http.Client{}, h.nodes[0], true, "vault")
+	late := h.sendRequest(context.Background(), &http.Client{}, h.allNodes()[0], true, "vault")
 	if late.status != http.StatusOK {
 		t.Fatalf("status %d, %v", late.status, late.err)
 	}
@@ -165,7 +165,7 @@
 func TestOperatorCommandsWithPlatformConfiguration(t *testing.T) {
 	h := newHarness(t, 3)
 	bfctl := func(command string) string {
-		run := exec.Command(filepath.Join(h.options.Binaries, "bfctl"), "--no-token", "--node", h.nodes[0].process.Settings().Listen.Operator, command)
+		run := exec.Command(filepath.Join(h.options.Binaries, "bfctl"), "--no-token", "--node", h.allNodes()[0].process.Settings().Listen.Operator, command)
 		out, err := run.CombinedOutput()
 		if err != nil {
 			t.Logf("%s: %v", command, err)
@@ -179,7 +179,7 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	wantContains(t, bfctl("show members"), h.nodes[2].process.Settings().Instance)
+	wantContains(t, bfctl("show members"), h.allNodes()[2].process.Settings().Instance)
 	wantContains(t, bfctl("explain GET //"+host+"/look-vault/1"), "service vault", "idempotent")
 	wantContains(t, bfctl("confirm autumn"), "kept by the platform")
 }
@@ -190,11 +190,11 @@
 	h := newHarness(t, 5)
 	path := newCrashingPath()
 	send := func() outcome {
-		return h.sendRequestTo(context.Background(), &http.Client{}, h.nodes[0], newID(), http.MethodGet, path)
+		return h.sendRequestTo(context.Background(), &http.Client{}, h.allNodes()[0], newID(), http.MethodGet, path)
 	}
 	deadline := time.Now().Add(20 * time.Second)
 	quarantined := send()
-	for quarantined.status != http.StatusServiceUnavailable || !strings.Contains(h.nodes[0].process.Process().Log(), `"reason":"quarantined"`) {
+	for quarantined.status != http.StatusServiceUnavailable || !strings.Contains(h.allNodes()[0].process.Process().Log(), `"reason":"quarantined"`) {
 		if time.Now().After(deadline) {
 			t.Fatalf("not quarantined: status %d, %v", quarantined.status, quarantined.err)
 		}
@@ -207,7 +207,7 @@
 		t.Fatalf("no content in %s", refused)
 	}
 	crashes := 0
-	for _, n := range h.nodes {
+	for _, n := range h.allNodes() {
 		for line := range strings.Lines(n.process.Process().Log()) {
 			if strings.Contains(line, found[1]) && strings.Contains(line, `"event":4107`) {
 				crashes++
--- a/lib/bfbackup/backup.go
+++ b/lib/bfbackup/backup.go
@@ -31,6 +31,8 @@
 	Book *bfquarantine.Book
 	// IsMaintainer reports whether this node currently maintains the copy.
 	IsMaintainer func() bool
+	// Era returns the era of the store; nil for a store that is never restored from a copy.
+	Era func() uint64
 	// Restore merges restored records into this node's quarantine and distributes them to the other nodes.
 	Restore func([]bfquarantine.Record)
 	// FirstStart reports that the fleet starts for the first time, so that there is no copy to read.
@@ -44,8 +46,10 @@
 	config Config
 	// rowKnown reports that revision and storedDigest match the stored row.
 	rowKnown     bool
-	revision     uint64
+	revision     bfstore.Revision
 	storedDigest uint64
+	// era is the era of the store in which the row was read or written.
+	era uint64
 }
 
 // New returns the Backup of a node; Run starts it.
@@ -78,6 +82,7 @@
 
 // step reads the row unless it is known, and writes it if its digest differs from the quarantine's.
 func (b *Backup) step(ctx context.Context) error {
+	b.checkEra()
 	if !b.rowKnown {
 		if err := b.read(ctx); err != nil {
 			return err
@@ -89,6 +94,19 @@
 	return nil
 }
 
+// checkEra forgets the row when the store has been restored: its copy may lack records that this
+// node has written.
+func (b *Backup) checkEra() {
+	if b.config.Era == nil {
+		return
+	}
+	era := b.config.Era()
+	if b.era > 0 && era != b.era {
+		b.rowKnown = false
+	}
+	b.era = era
+}
+
 func (b *Backup) read(ctx context.Context) error {
 	entries, _, err := b.config.Rows.List(ctx, b.config.Table)
 	if err != nil {
--- a/lib/bfbackup/backup_test.go
+++ b/lib/bfbackup/backup_test.go
@@ -22,7 +22,7 @@
 	unavailable, loseResponses bool
 }
 
-func (s *faultyStore) List(ctx context.Context, table string) ([]bfstore.Entry, uint64, error) {
+func (s *faultyStore) List(ctx context.Context, table string) ([]bfstore.Entry, bfstore.Revision, error) {
 	s.calls.Add(1)
 	if s.unavailable {
 		return nil, 0, &bfstore.UnavailableError{Reason: "test"}
@@ -30,7 +30,7 @@
 	return s.MemoryTableStore.List(ctx, table)
 }
 
-func (s *faultyStore) Write(ctx context.Context, table string, writes ...bfstore.RowWrite) (uint64, error) {
+func (s *faultyStore) Write(ctx context.Context, table string, writes ...bfstore.RowWrite) (bfstore.Revision, error) {
 	s.calls.Add(1)
 	if s.unavailable {
 		return 0, &bfstore.UnavailableError{Reason: "test"}
--- a/lib/bfbatch/batch.go
+++ b/lib/bfbatch/batch.go
@@ -49,7 +49,7 @@
 }
 
 type result struct {
-	revision uint64
+	revision bfstore.Revision
 	err      error
 }
 
@@ -68,7 +68,7 @@
 
 // Write adds the write to a batch and returns the row's new revision. Its errors are
 // BatchError, those of the store, and ctx's.
-func (b *Batcher) Write(ctx context.Context, write bfstore.RowWrite) (uint64, error) {
+func (b *Batcher) Write(ctx context.Context, write bfstore.RowWrite) (bfstore.Revision, error) {
 	p := &pending{write: write, done: make(chan result, 1)}
 	if !b.add(p) {
 		return 0, &BatchError{Reason: &bfstore.UnavailableError{Reason: "too many pending writes"}}
--- a/lib/bfbatch/batch_test.go
+++ b/lib/bfbatch/batch_test.go
@@ -27,7 +27,7 @@
 	calls int
 }
 
-func (c *countingRows) Write(ctx context.Context, table string, writes ...bfstore.RowWrite) (uint64, error) {
+func (c *countingRows) Write(ctx context.Context, table string, writes ...bfstore.RowWrite) (bfstore.Revision, error) {
 	c.mu.Lock()
 	c.calls++
 	c.mu.Unlock()
--- a/lib/bfbatch/remote.go
+++ b/lib/bfbatch/remote.go
@@ -18,10 +18,10 @@
 
 // request is the encoded form of a write.
 type request struct {
-	Key      string `json:"key"`
-	Value    []byte `json:"value,omitempty"`
-	Remove   bool   `json:"remove,omitempty"`
-	Revision uint64 `json:"revision,omitempty"`
+	Key      string           `json:"key"`
+	Value    []byte           `json:"value,omitempty"`
+	Remove   bool             `json:"remove,omitempty"`
+	Revision bfstore.Revision `json:"revision,omitempty"`
 }
 
 // outcome is the encoded result of a write.
@@ -35,8 +35,8 @@
 )
 
 type reply struct {
-	Outcome  outcome `json:"outcome"`
-	Revision uint64  `json:"revision,omitempty"`
+	Outcome  outcome          `json:"outcome"`
+	Revision bfstore.Revision `json:"revision,omitempty"`
 }
 
 // Methods returns the calls that the batcher serves to other nodes.
@@ -72,7 +72,7 @@
 
 // Write sends the write to the node. Its errors are bfstore.ConflictError and
 // BatchError; after the latter the write may still have taken effect.
-func (r Remote) Write(ctx context.Context, write bfstore.RowWrite) (uint64, error) {
+func (r Remote) Write(ctx context.Context, write bfstore.RowWrite) (bfstore.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var got reply
--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -9,6 +9,7 @@
 	"bilberryflow.org/lib/bfexchange"
 	"bilberryflow.org/lib/bffleet"
 	"bilberryflow.org/lib/bfhost"
+	"bilberryflow.org/lib/bfrollout"
 	"bilberryflow.org/lib/bftraffic"
 	"bilberryflow.org/lib/bfwalk"
 )
@@ -47,6 +48,11 @@
 	lastSendDuration time.Duration
 	// mayQueue is set if the request may queue at the next target when that is full.
 	mayQueue bool
+	// rollout is the newest roll-out of the service, nil if there is none; selected says to which
+	// versions the next send may go, and triedNew is set once the new one was tried.
+	rollout  *bfrollout.Rollout
+	selected bfrollout.Selection
+	triedNew bool
 	// isLastTarget is set if no other target is tried when this one is full.
 	isLastTarget bool
 }
@@ -83,9 +89,12 @@
 		if refused, ok := c.quarantined(now); ok {
 			return c.withRetryAfter(refused)
 		}
-		choice := c.handler.config.Fleet.Pick(c.demand(refusal), now, c.tried)
+		choice := c.pick(refusal, now)
 		target := choice.Target()
 		done := target == nil || c.searchTimedOut(now, refusal)
+		if done {
+			c.returnTrial()
+		}
 		if done && refusal.Reason == bfhost.Full && !c.isLastTarget && c.retriesWhenAllFull() {
 			c.isLastTarget, c.tried = true, nil
 			continue
@@ -94,8 +103,9 @@
 			return c.withRetryAfter(refusal)
 		}
 		c.tried = append(c.tried, target)
-		c.isLastTarget = c.isLastTarget || c.route.Kind() == bftraffic.Download && choice.Full()
-		c.mayQueue = c.isLastTarget || bfwalk.QueuesAtTarget(choice.Others(), c.handler.localAcceptRates.Of(c.service))
+		_, trial := c.choseVersion()
+		c.isLastTarget = c.isLastTarget || !trial && c.route.Kind() == bftraffic.Download && choice.Full()
+		c.mayQueue = c.isLastTarget || !trial && bfwalk.QueuesAtTarget(choice.Others(), c.handler.localAcceptRates.Of(c.service))
 		result := c.sendTo(ctx, target)
 		if refused, ok := result.(bfhost.Refused); ok {
 			refusal = preferFull(refusal, refused)
@@ -275,6 +285,7 @@
 		result = c.sendRemote(ctx, target)
 	}
 	c.lastSendDuration = c.handler.config.Timer.Now().Sub(began)
+	c.recordVersion(target, result)
 	c.recordOutcome(target, result, c.lastSendDuration)
 	c.recordAcceptance(target, result)
 	return result
--- a/lib/bfentry/handler.go
+++ b/lib/bfentry/handler.go
@@ -19,6 +19,7 @@
 	"bilberryflow.org/lib/bfmetric"
 	"bilberryflow.org/lib/bfpacer"
 	"bilberryflow.org/lib/bfquarantine"
+	"bilberryflow.org/lib/bfrollout"
 	"bilberryflow.org/lib/bftimer"
 	"bilberryflow.org/lib/bftraffic"
 	"bilberryflow.org/lib/bfwalk"
@@ -46,9 +47,11 @@
 	Account *bfbudget.Account
 	// Quarantine holds the requests that crash targets; nil means empty.
 	Quarantine *bfquarantine.Book
-	Timer      *bftimer.Service
-	Logger     *bflog.Logger
-	Metrics    *bfmetric.Registry
+	// Rollouts holds the roll-outs of services; nil means none.
+	Rollouts *bfrollout.Book
+	Timer    *bftimer.Service
+	Logger   *bflog.Logger
+	Metrics  *bfmetric.Registry
 }
 
 // Handler serves callers' requests.
--- a/lib/bfentry/policy.go
+++ b/lib/bfentry/policy.go
@@ -10,7 +10,9 @@
 
 // policy is the policy sent with the request to the target's node.
 func (c *call) policy() bfhost.Policy {
+	chosen, trial := c.choseVersion()
 	return bfhost.Policy{
+		ChosenVersion: chosen, Trial: trial,
 		Class: c.route.Name(), Service: c.service, Rank: c.route.Rank(), Nested: c.parent != nil,
 		Repeat: c.sent > 0, Inherited: c.parent != nil && c.parent.IsRepeat(),
 		Repeatable: c.route.Kind().Repeatable(), Late: c.late(), MaxSlotWait: c.maxSlotWait(),
@@ -48,6 +50,10 @@
 
 // maxSlotWait is how long the request may wait for a slot.
 func (c *call) maxSlotWait() time.Duration {
+	if _, trial := c.choseVersion(); trial {
+		// The targets of the old version have slots as well.
+		return 0
+	}
 	if c.parent != nil {
 		return time.Duration(nestedWaitShare * float64(c.route.Objective()))
 	}
--- a/lib/bffleet/cost.go
+++ b/lib/bffleet/cost.go
@@ -20,6 +20,8 @@
 	Objective, Left time.Duration
 	// SameDomain restricts the choice to targets in the node's own failure domain.
 	SameDomain bool
+	// Versions restricts the choice to targets of some versions; nil for all.
+	Versions VersionFilter
 }
 
 // The costs of a target, in units of the value of one answer.
--- a/lib/bffleet/fleet.go
+++ b/lib/bffleet/fleet.go
@@ -172,7 +172,7 @@
 func (f *Fleet) pick(demand Demand, now time.Time, tried []*Target, withSuspended bool) Choice {
 	var best Choice
 	bestCost, inDomain := 0.0, 0
-	for _, t := range f.view.Load().services[demand.Service] {
+	for _, t := range selectVersions(f.view.Load().services[demand.Service], demand.Versions) {
 		if t.probing.Load() || slices.Contains(tried, t) {
 			continue
 		}
--- a/lib/bffleet/member.go
+++ b/lib/bffleet/member.go
@@ -8,6 +8,7 @@
 
 	"bilberryflow.org/lib/bfcodec"
 	"bilberryflow.org/lib/bfheader"
+	"bilberryflow.org/lib/bfstore"
 )
 
 // Member is a node whose target accepts requests, as stored in the members' table.
@@ -26,7 +27,7 @@
 	// LinkMbps is the bandwidth of the node's link in whole Mbit/s.
 	LinkMbps int `cbor:"6,keyasint,omitempty"`
 	// Revision is the revision of the row in the store. The stored row itself lacks it.
-	Revision uint64 `cbor:"7,keyasint,omitempty"`
+	Revision bfstore.Revision `cbor:"7,keyasint,omitempty"`
 	// Instance is the name of the node's instance, for operators.
 	Instance string `cbor:"8,keyasint,omitempty"`
 	// Incarnation and Address identify the target. StartedMilli is its start time in Unix
@@ -35,6 +36,8 @@
 	Incarnation  string `cbor:"9,keyasint,omitempty"`
 	Address      string `cbor:"10,keyasint,omitempty"`
 	StartedMilli int64  `cbor:"11,keyasint,omitempty"`
+	// Version is the version of the target's software.
+	Version string `cbor:"12,keyasint,omitempty"`
 }
 
 // Started returns when the target started by its own clock, or the zero time if unknown.
--- a/lib/bffollow/follow.go
+++ b/lib/bffollow/follow.go
@@ -19,7 +19,7 @@
 	Full    bool
 	Entries []bfstore.Entry
 	// Revision is the store revision at which the rows were read.
-	Revision uint64
+	Revision bfstore.Revision
 }
 
 // Follower follows one table.
@@ -29,7 +29,7 @@
 	apply         func(Batch)
 	batchDelay    time.Duration
 	shouldFollow  func() bool
-	knownRevision func() uint64
+	knownRevision func() bfstore.Revision
 	timer         *bftimer.Service
 	logger        *bflog.Logger
 	calls         *bfmetric.Counter
@@ -37,7 +37,7 @@
 	// following is set while the node follows the table itself and its last call succeeded.
 	following atomic.Bool
 	// revision is the store revision of the node's own last read.
-	revision atomic.Uint64
+	revision atomic.Uint64 // a bfstore.Revision
 	// wake ends the idle pause of a node that does not follow the table.
 	wake chan struct{}
 }
@@ -56,7 +56,7 @@
 	// KnownRevision returns the store revision of the rows received from other nodes, 0 for
 	// none; nil if no other node sends them. The follower then reads the changes since that
 	// revision instead of the full table.
-	KnownRevision func() uint64
+	KnownRevision func() bfstore.Revision
 	Timer         *bftimer.Service
 	Logger        *bflog.Logger
 	Metrics       *bfmetric.Registry
@@ -74,7 +74,7 @@
 func (f *Follower) Healthy() bool { return f.healthy.Load() }
 
 // Revision returns the store revision of the node's own last read, 0 before the first.
-func (f *Follower) Revision() uint64 { return f.revision.Load() }
+func (f *Follower) Revision() bfstore.Revision { return bfstore.Revision(f.revision.Load()) }
 
 // Follows reports whether the node's own calls follow the table now.
 func (f *Follower) Follows() bool { return f.following.Load() }
@@ -121,7 +121,7 @@
 		f.recordResult(err)
 		at = next
 		if at.listed {
-			f.revision.Store(at.after)
+			f.revision.Store(uint64(at.after))
 		}
 		if err != nil {
 			if f.timer.Wait(ctx, f.timer.Jittered(backoff, backoffJitter)()) != nil {
@@ -162,7 +162,7 @@
 // position is how far a table has been read.
 type position struct {
 	listed bool
-	after  uint64
+	after  bfstore.Revision
 }
 
 // poll makes one call, which the store holds for at most wait; changed reports whether rows
@@ -174,7 +174,7 @@
 		if err != nil {
 			return at, false, err
 		}
-		f.logger.Emit(bflog.StoreListed, slog.String("table", f.table), slog.Int("rows", len(entries)), slog.Uint64("revision", revision))
+		f.logger.Emit(bflog.StoreListed, slog.String("table", f.table), slog.Int("rows", len(entries)), slog.String("revision", revision.String()))
 		f.apply(Batch{Full: true, Entries: entries, Revision: revision})
 		return position{listed: true, after: revision}, false, nil
 	}
--- a/lib/bffollow/follow_test.go
+++ b/lib/bffollow/follow_test.go
@@ -65,14 +65,14 @@
 	return nil
 }
 
-func (f *faultyStore) List(ctx context.Context, table string) ([]bfstore.Entry, uint64, error) {
+func (f *faultyStore) List(ctx context.Context, table string) ([]bfstore.Entry, bfstore.Revision, error) {
 	if err := f.call(true); err != nil {
 		return nil, 0, err
 	}
 	return f.MemoryTableStore.List(ctx, table)
 }
 
-func (f *faultyStore) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]bfstore.Entry, uint64, error) {
+func (f *faultyStore) Changes(ctx context.Context, table string, after bfstore.Revision, wait time.Duration) ([]bfstore.Entry, bfstore.Revision, error) {
 	if f.isUnresponsive() {
 		// The caller's timeout ends the call a second after the wait.
 		time.Sleep(wait + time.Second)
@@ -131,7 +131,7 @@
 	})
 }
 
-func put(is *is.I, store *faultyStore, key, value string, revision uint64) uint64 {
+func put(is *is.I, store *faultyStore, key, value string, revision bfstore.Revision) bfstore.Revision {
 	revision, err := store.Put(context.Background(), "t", key, []byte(value), revision)
 	is.NoErr(err)
 	return revision
@@ -157,7 +157,7 @@
 	runFollower(t, func(is *is.I, store *faultyStore, _ *Follower, rows func() map[string]string) {
 		time.Sleep(time.Second)
 		before, _ := store.count()
-		revision := uint64(0)
+		revision := bfstore.Revision(0)
 		for i := range 20 {
 			revision = put(is, store, "a", string(rune('a'+i)), revision)
 			time.Sleep(100 * time.Millisecond)
@@ -247,14 +247,14 @@
 		var knownRevision atomic.Uint64
 		var read atomic.Int32
 		f := New(Config{
-			Table: "t", Rows: store, Apply: func(b Batch) { read.Add(int32(len(b.Entries))) }, ShouldFollow: shouldFollow.Load, KnownRevision: knownRevision.Load,
+			Table: "t", Rows: store, Apply: func(b Batch) { read.Add(int32(len(b.Entries))) }, ShouldFollow: shouldFollow.Load, KnownRevision: func() bfstore.Revision { return bfstore.Revision(knownRevision.Load()) },
 			Timer: timer, Logger: bflog.Discard(), Metrics: bfmetric.New(),
 		})
 		group := bfgroup.New(context.Background())
 		group.Go("timer", timer.Run)
 		group.Go("follow", f.Run)
 		put(is, store, "a", "1", 0)
-		knownRevision.Store(put(is, store, "b", "1", 0))
+		knownRevision.Store(uint64(put(is, store, "b", "1", 0)))
 		put(is, store, "c", "1", 0)
 		store.setDown(true)
 		time.Sleep(10 * time.Second)
@@ -282,7 +282,7 @@
 		store := &faultyStore{MemoryTableStore: bfstore.NewMemoryTableStore()}
 		timer := bftimer.New(1)
 		f := New(Config{
-			Table: "t", Rows: store, Apply: func(Batch) {}, KnownRevision: func() uint64 { return 0 },
+			Table: "t", Rows: store, Apply: func(Batch) {}, KnownRevision: func() bfstore.Revision { return 0 },
 			Timer: timer, Logger: bflog.Discard(), Metrics: bfmetric.New(),
 		})
 		group := bfgroup.New(context.Background())
--- a/lib/bfhost/heartbeat.go
+++ b/lib/bfhost/heartbeat.go
@@ -36,8 +36,10 @@
 	Sequence int64
 	Service  string
 	Address  string
-	Slots    int
-	State    State
+	// Version is the version of the target's software.
+	Version string
+	Slots   int
+	State   State
 	// WarmUpLeft is the remaining warm-up time, in which the target is slow.
 	WarmUpLeft time.Duration
 }
@@ -72,12 +74,18 @@
 // Address is the host and port at which the target accepts requests.
 func (t *Target) Address() string { return t.heartbeat.Address }
 
+// Version is the version of the target's software.
+func (t *Target) Version() string { return t.heartbeat.Version }
+
 // Slots is the number of requests that the target runs concurrently.
 func (t *Target) Slots() int { return t.heartbeat.Slots }
 
 // WarmUpLeft is the remaining warm-up time as of the latest heartbeat.
 func (t *Target) WarmUpLeft() time.Duration { return t.heartbeat.WarmUpLeft }
 
+// isWarm reports whether the target has warmed up.
+func (t *Target) isWarm(now time.Time) bool { return now.Sub(t.receivedAt) >= t.heartbeat.WarmUpLeft }
+
 // AcceptsWork reports whether the target receives new requests.
 func (t *Target) AcceptsWork() bool { return t.acceptsWork }
 
--- a/lib/bfhost/hop.go
+++ b/lib/bfhost/hop.go
@@ -18,8 +18,21 @@
 	h[policyHeader] = []string{fmt.Sprintf("%s %d %s %s %s %s %s %d %d %s", p.Service, p.Rank, flag(p.Nested, flagNested),
 		flag(p.Repeatable, flagRepeatable), flag(p.Repeat, flagRepeat), flag(p.Inherited, flagInherited), flag(p.Late, flagLate),
 		p.MaxSlotWait.Milliseconds(), p.MaxLinkWait.Milliseconds(), p.Class)}
+	switch {
+	case p.Trial:
+		h[bfheader.Version] = []string{versionTrial}
+	case p.ChosenVersion:
+		h[bfheader.Version] = []string{versionChosen}
+	}
 }
 
+// Values of the version header between nodes, which is missing if the entry did not choose the
+// version.
+const (
+	versionChosen = "chosen"
+	versionTrial  = "trial"
+)
+
 // Flags of an encoded policy.
 const (
 	flagNested     = "nested"
@@ -64,7 +77,9 @@
 	if err != nil {
 		return Policy{}, &PolicyError{text}
 	}
+	version := h.Get(bfheader.Version)
 	return Policy{
+		ChosenVersion: version != "", Trial: version == versionTrial,
 		Service: fields[0], Rank: rank, Nested: fields[2] == flagNested, Repeatable: fields[3] == flagRepeatable,
 		Repeat: fields[4] == flagRepeat, Inherited: fields[5] == flagInherited, Late: fields[6] == flagLate,
 		MaxSlotWait: time.Duration(slotWait) * time.Millisecond, MaxLinkWait: time.Duration(linkWait) * time.Millisecond,
@@ -104,17 +119,24 @@
 // WriteSpent writes the time spent at a target's node to the header of an answer between nodes.
 func WriteSpent(h http.Header, s Spent) {
 	h[bfheader.Spent] = []string{strconv.FormatInt(s.Wait.Microseconds(), 10) + "/" + strconv.FormatInt(s.Run.Microseconds(), 10)}
+	if s.Warm {
+		h[bfheader.Spent][0] += "/" + spentWarm
+	}
 }
 
+// spentWarm marks the time at a target that had warmed up.
+const spentWarm = "warm"
+
 // ReadSpent parses what WriteSpent wrote, zero if the header is missing or malformed.
 func ReadSpent(h http.Header) Spent {
 	before, after, _ := strings.Cut(h.Get(bfheader.Spent), "/")
+	after, warm, _ := strings.Cut(after, "/")
 	wait, errWait := strconv.ParseInt(before, 10, 64)
 	run, errRun := strconv.ParseInt(after, 10, 64)
 	if errWait != nil || errRun != nil {
 		return Spent{}
 	}
-	return Spent{Wait: time.Duration(wait) * time.Microsecond, Run: time.Duration(run) * time.Microsecond}
+	return Spent{Wait: time.Duration(wait) * time.Microsecond, Run: time.Duration(run) * time.Microsecond, Warm: warm == spentWarm}
 }
 
 // Values of the outcome header between nodes.
--- a/lib/bfhost/host.go
+++ b/lib/bfhost/host.go
@@ -32,6 +32,9 @@
 	Changed func(*Target)
 	// Quarantine holds the requests that crash targets; nil means empty.
 	Quarantine *bfquarantine.Book
+	// AdmitsVersion reports whether a request may run on a target of a version; chosen is set if its
+	// entry chose the version. nil admits all.
+	AdmitsVersion func(version string, chosen bool) bool
 	// Crashed is called after a crash of the target; nil is allowed.
 	Crashed func(bfflight.Crash)
 }
@@ -132,22 +135,33 @@
 //
 // An address can be reused by a target of another service while other nodes still have
 // the old one; the service check keeps that target from running their requests.
-func (h *Host) usableTarget(service string) (*Target, Result) {
+func (h *Host) usableTarget(policy Policy) (*Target, Result) {
 	target := h.target.Load()
 	switch {
-	case service != h.config.Service:
+	case policy.Service != h.config.Service:
 		return nil, Refused{Reason: WrongService}
 	case target == nil || target.isStale(h.config.Timer.Now()):
 		return nil, Refused{Reason: NoTarget}
 	case !target.acceptsWork || h.leaving.Load():
 		return nil, Refused{Reason: Leaving}
+	case h.withholds(target, policy):
+		return nil, Refused{Reason: Withheld}
 	}
 	return target, nil
 }
 
+// withholds reports whether a roll-out gives the target's version no such request. A trial waits
+// until the target is warm: cold, it would be slower than those it is compared with.
+func (h *Host) withholds(target *Target, policy Policy) bool {
+	if h.config.AdmitsVersion == nil {
+		return false
+	}
+	return !h.config.AdmitsVersion(target.Version(), policy.ChosenVersion) || policy.Trial && !target.isWarm(h.config.Timer.Now())
+}
+
 // Run sends a job to the target, once a slot is free, and reads the answer.
 func (h *Host) Run(ctx context.Context, job Job) Result {
-	if _, refused := h.usableTarget(job.Policy.Service); refused != nil {
+	if _, refused := h.usableTarget(job.Policy); refused != nil {
 		return refused
 	}
 	request := h.newQuarantineRequest(job)
@@ -166,7 +180,7 @@
 		return Expired{}
 	}
 	// The target may have begun to drain while the request waited.
-	target, refused := h.usableTarget(job.Policy.Service)
+	target, refused := h.usableTarget(job.Policy)
 	if refused != nil {
 		slot.Release()
 		return refused
@@ -192,7 +206,9 @@
 	h.failures.record(result)
 	if answered, ok := result.(Answered); ok {
 		flight.Answered()
-		answered.Answer.Spent = Spent{Wait: flight.Began().Sub(arrived), Run: h.config.Timer.Now().Sub(flight.Began())}
+		answered.Answer.Spent = Spent{
+			Wait: flight.Began().Sub(arrived), Run: h.config.Timer.Now().Sub(flight.Began()), Warm: target.isWarm(flight.Began()),
+		}
 	}
 	return result
 }
--- a/lib/bfhost/job.go
+++ b/lib/bfhost/job.go
@@ -34,6 +34,10 @@
 	Inherited bool
 	// Repeatable is set if the request may run more than once.
 	Repeatable bool
+	// ChosenVersion is set if the entry chose the target for the version of its software.
+	ChosenVersion bool
+	// Trial is set if the entry tries a version that has not been found good.
+	Trial bool
 	// Late is set if the request is expected to miss its objective at any target.
 	Late bool
 	// MaxSlotWait is how long the request may wait for a slot.
@@ -77,6 +81,8 @@
 	// OverBudget means that the request is a retry, and the retry budgets of the services
 	// that its run calls don't cover those calls.
 	OverBudget Reason = "unborne"
+	// Withheld means that a roll-out gives the target's version no such requests at present.
+	Withheld Reason = "withheld"
 	// Quarantined means that several targets crashed while running the request.
 	Quarantined Reason = "quarantined"
 )
@@ -133,6 +139,8 @@
 	Wait time.Duration
 	// Run is the time from the send to the end of the buffered part of the answer.
 	Run time.Duration
+	// Warm is set if the target had warmed up.
+	Warm bool
 }
 
 // Close releases the answer's connection and slot. It may be called more than once.
--- a/lib/bfinspect/backend.go
+++ b/lib/bfinspect/backend.go
@@ -104,7 +104,7 @@
 	for _, s := range b.config.Fleet.Statuses(b.Now()) {
 		list = append(list, bfquery.Member{
 			Instance: s.Member.Name(), Service: s.Member.Service, Region: b.config.Region, Domain: s.Member.Domain,
-			Address: s.Member.Inbound, State: s.State(), Incarnation: s.Member.Revision,
+			Address: s.Member.Inbound, State: s.State(), Incarnation: s.Member.Revision.Number(),
 		})
 	}
 	return list, nil
--- a/lib/bflog/events.go
+++ b/lib/bflog/events.go
@@ -68,11 +68,23 @@
 	BackupError        = declare(4111, slog.LevelWarn, "quarantine backup not read or written", "Nothing; it is retried. A fleet restarted before it succeeds loses the quarantine.")
 )
 
+// Events of roll-outs.
+var (
+	RolloutOrdered       = declare(4201, slog.LevelInfo, "roll-out ordered", "Nothing; a small share of the service's requests tries the new version.")
+	RolloutOrderRefused  = declare(4202, slog.LevelWarn, "order of a roll-out unreadable, the last one stays", "Correct the order's row in the store.")
+	RolloutCondemned     = declare(4203, slog.LevelWarn, "new version withdrawn from traffic", "Read the reason; fix the version and order it again.")
+	RolloutCleared       = declare(4204, slog.LevelInfo, "new version found good, traffic moves to it", "Nothing.")
+	RolloutStatusWritten = declare(4205, slog.LevelInfo, "status of a roll-out written", "Nothing.")
+	RolloutStatusError   = declare(4206, slog.LevelWarn, "status of a roll-out not read or written", "Nothing while the store is unreachable; it is retried, also by other nodes.")
+)
+
 // Events of the platform's store and of the member rows in it.
 var (
 	StoreLost              = declare(2101, slog.LevelWarn, "store unreachable from this node", "Requests are served with the current data; updates are read from other nodes.")
 	StoreRegained          = declare(2102, slog.LevelInfo, "store reachable again from this node", "Nothing.")
 	StoreListed            = declare(2103, slog.LevelInfo, "table read in full", "Nothing; it happens at startup and after the store compacted its history.")
+	StoreEraBegan          = declare(2104, slog.LevelWarn, "store was restored from an older copy", "Check what operators wrote shortly before and write it again; nodes write their own rows again.")
+	StoreEraIgnored        = declare(2105, slog.LevelInfo, "delayed answer of the store from before its restore ignored", "Nothing; the call is repeated.")
 	RowRefused             = declare(3106, slog.LevelWarn, "invalid member row ignored", "Find what else writes to the members' table.")
 	UpdateRoleChanged      = declare(3108, slog.LevelInfo, "update role of this node changed", "Nothing; a follower reads from the store if it receives no updates from a node.")
 	RowWrittenIndividually = declare(3109, slog.LevelInfo, "this node's row written individually", "Nothing; the node that batches rows was unreachable or did not write them.")
--- a/lib/bfnews/members.go
+++ b/lib/bfnews/members.go
@@ -5,21 +5,23 @@
 	"strings"
 
 	"bilberryflow.org/lib/bffleet"
+	"bilberryflow.org/lib/bfstore"
 )
 
 // MembersDelta holds the changes between the members at revision Base and those at Revision.
 type MembersDelta struct {
-	Base     uint64           `cbor:"1,keyasint"`
-	Revision uint64           `cbor:"2,keyasint"`
+	Base     bfstore.Revision `cbor:"1,keyasint"`
+	Revision bfstore.Revision `cbor:"2,keyasint"`
 	Changed  []bffleet.Member `cbor:"3,keyasint,omitempty"`
 	Gone     []string         `cbor:"4,keyasint,omitempty"`
 }
 
 // AppliesTo reports whether the delta can be applied to members at the given revision. A
 // revision between Base and Revision does not qualify: it can contain a row that was added and
-// removed since Base, and the delta does not list that removal.
-func (d MembersDelta) AppliesTo(revision uint64) bool {
-	return d.Base == revision && revision < d.Revision
+// removed since Base, and the delta does not list that removal. Nor does a delta between two
+// eras of the store: what is missing in the new era may only have to be written again.
+func (d MembersDelta) AppliesTo(revision bfstore.Revision) bool {
+	return d.Base == revision && revision < d.Revision && d.Base.Era() == d.Revision.Era()
 }
 
 // membersDelta computes the delta between two rosters. A row that was rewritten has another
--- a/lib/bfnews/news.go
+++ b/lib/bfnews/news.go
@@ -11,6 +11,7 @@
 	"bilberryflow.org/lib/bffleet"
 	"bilberryflow.org/lib/bflog"
 	"bilberryflow.org/lib/bfpeer"
+	"bilberryflow.org/lib/bfstore"
 	"bilberryflow.org/lib/bftimer"
 	"bilberryflow.org/lib/bftraffic"
 )
@@ -20,7 +21,7 @@
 
 // Roster is the list of members at one revision of the store.
 type Roster struct {
-	Revision uint64           `cbor:"1,keyasint"`
+	Revision bfstore.Revision `cbor:"1,keyasint"`
 	Members  []bffleet.Member `cbor:"2,keyasint"`
 }
 
@@ -30,11 +31,11 @@
 	Version() bftraffic.Version
 	// VersionAsOf returns the latest store revision at which the version in force is known to
 	// be the newest, and Revision the store revision of the member list; 0 for never.
-	VersionAsOf() uint64
-	Revision() uint64
+	VersionAsOf() bfstore.Revision
+	Revision() bfstore.Revision
 	// ConfirmVersion records a peer's report that a version is the newest one at a store
 	// revision.
-	ConfirmVersion(version bftraffic.Version, revision uint64)
+	ConfirmVersion(version bftraffic.Version, revision bfstore.Revision)
 	// Snapshot returns the traffic configuration in force, nil before the first.
 	Snapshot() *bftraffic.Snapshot
 	// Recent returns the configuration of a version that was recently in force, or nil.
@@ -52,44 +53,31 @@
 	// Current reports whether the state follows the store, either by this node's own calls or
 	// by updates from a node that follows it.
 	Current() bool
+	// StoreRestored reports whether the store was restored from an older copy, so that it may hold
+	// an older version than the fleet.
+	StoreRestored() bool
 	// Follows reports whether this node's own calls follow the store now.
 	Follows() bool
 }
 
-// Reconciler keeps further state equal on all nodes. Its digest is piggybacked on the messages
-// that nodes exchange anyway.
-type Reconciler interface {
-	// Digest identifies this node's state, 0 if it is empty.
-	Digest() uint64
-	// ObserveDigest receives the digest of a peer.
-	ObserveDigest(peer string, digest uint64)
-}
-
-// noReconciler is the Reconciler of a node that has none.
-type noReconciler struct{}
-
-// Digest returns the digest of the empty state.
-func (noReconciler) Digest() uint64 { return 0 }
-
-// ObserveDigest ignores the digest.
-func (noReconciler) ObserveDigest(string, uint64) {}
-
 // pollRequest states which data the polling node holds.
 type pollRequest struct {
 	Version  bftraffic.Version `json:"version"`
-	Revision uint64            `json:"revision"`
+	Revision bfstore.Revision  `json:"revision"`
 	// Send requests the newer data itself, not only its version and revision.
 	Send bool `json:"send,omitempty"`
 	// Peer is the polling node's address for calls.
 	Peer string `json:"peer"`
 	// Quarantine is the Reconciler's digest.
 	Quarantine uint64 `json:"quarantine,omitempty"`
+	// Rollouts is the digest of the roll-outs.
+	Rollouts uint64 `json:"rollouts,omitempty"`
 }
 
 // pollReply states which data the polled node holds, with the requested data in CBOR.
 type pollReply struct {
 	Version  bftraffic.Version `json:"version"`
-	Revision uint64            `json:"revision"`
+	Revision bfstore.Revision  `json:"revision"`
 	// Delta leads from the polling node's version to Version. Spec is the full configuration,
 	// sent if the polled node no longer has the polling node's version.
 	Delta  []byte `json:"delta,omitempty"`
@@ -97,6 +85,10 @@
 	Roster []byte `json:"roster,omitempty"`
 	// Quarantine is the Reconciler's digest.
 	Quarantine uint64 `json:"quarantine,omitempty"`
+	// Rollouts is the digest of the roll-outs, Orders all of them in their own encoding. They come
+	// with the configuration, so that no node serves with a configuration and without its orders.
+	Rollouts uint64 `json:"rollouts,omitempty"`
+	Orders   []byte `json:"orders,omitempty"`
 }
 
 // Exchange sends and answers polls and updates.
@@ -110,6 +102,7 @@
 	logger     *bflog.Logger
 	spawn      func(name string, fn func(ctx context.Context) error)
 	quarantine Reconciler
+	rollouts   Orders
 	started    time.Time
 	// firstStart is set if the whole fleet starts for the first time; firstStartDelay is how
 	// long this node then waits before it reads the member list.
@@ -147,6 +140,8 @@
 	Spawn func(name string, fn func(ctx context.Context) error)
 	// Quarantine is reconciled alongside the state; nil for none.
 	Quarantine Reconciler
+	// Rollouts are reconciled likewise, and sent with the configuration; nil for none.
+	Rollouts Orders
 }
 
 // New returns the exchange of a node that starts now.
@@ -154,9 +149,12 @@
 	if config.Quarantine == nil {
 		config.Quarantine = noReconciler{}
 	}
+	if config.Rollouts == nil {
+		config.Rollouts = noReconciler{}
+	}
 	return &Exchange{
 		self: config.Self, place: config.Place, firstStart: config.FirstStart, state: config.State, fleet: config.Fleet,
-		calls: config.Calls, timer: config.Timer, logger: config.Logger, spawn: config.Spawn, quarantine: config.Quarantine,
+		calls: config.Calls, timer: config.Timer, logger: config.Logger, spawn: config.Spawn, quarantine: config.Quarantine, rollouts: config.Rollouts,
 		firstStartDelay: firstStartDelay + time.Duration(rand.Float64()*float64(firstStartJitter)),
 		changed:         make(chan struct{}, 1), started: time.Now(),
 	}
@@ -248,11 +246,16 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	before := e.state.Version()
-	request := pollRequest{Version: before, Revision: e.state.Revision(), Send: send, Peer: e.self, Quarantine: e.quarantine.Digest()}
+	request := pollRequest{Version: before, Revision: e.state.Revision(), Send: send, Peer: e.self, Quarantine: e.quarantine.Digest(), Rollouts: e.rollouts.Digest()}
 	if err := e.calls.Call(ctx, peer, Method, request, &reply); err != nil {
 		return pollReply{}, false
 	}
 	e.quarantine.ObserveDigest(peer, reply.Quarantine)
+	if err := e.rollouts.Merge(reply.Orders); err != nil {
+		// A configuration without its orders must not be applied.
+		return pollReply{}, false
+	}
+	e.rollouts.ObserveDigest(peer, reply.Rollouts)
 	e.apply(reply)
 	if e.state.Version() > before {
 		e.sendHint()
@@ -263,13 +266,13 @@
 // VersionAt requests the version in force on another node.
 func (e *Exchange) VersionAt(ctx context.Context, peer string) (bftraffic.Version, error) {
 	var reply pollReply
-	request := pollRequest{Version: e.state.Version(), Revision: e.state.Revision(), Peer: e.self, Quarantine: e.quarantine.Digest()}
+	request := pollRequest{Version: e.state.Version(), Revision: e.state.Revision(), Peer: e.self, Quarantine: e.quarantine.Digest(), Rollouts: e.rollouts.Digest()}
 	err := e.calls.Call(ctx, peer, Method, request, &reply)
 	return reply.Version, err
 }
 
 // behind reports whether a peer with the given version and revision has newer data.
-func (e *Exchange) behind(version bftraffic.Version, revision uint64) bool {
+func (e *Exchange) behind(version bftraffic.Version, revision bfstore.Revision) bool {
 	return version > e.state.Version() || revision > e.state.Revision()
 }
 
@@ -293,6 +296,7 @@
 	}
 	if request.Peer != "" {
 		e.quarantine.ObserveDigest(request.Peer, request.Quarantine)
+		e.rollouts.ObserveDigest(request.Peer, request.Rollouts)
 	}
 	if e.behind(request.Version, request.Revision) && e.fetchingFromPoller.CompareAndSwap(false, true) {
 		e.spawn("fetch from poller", func(ctx context.Context) error {
@@ -319,11 +323,15 @@
 }
 
 func (e *Exchange) buildReply(request pollRequest) (pollReply, error) {
-	reply := pollReply{Version: e.state.Version(), Revision: e.state.Revision(), Quarantine: e.quarantine.Digest()}
+	reply := pollReply{Version: e.state.Version(), Revision: e.state.Revision(), Quarantine: e.quarantine.Digest(), Rollouts: e.rollouts.Digest()}
 	if !request.Send {
 		return reply, nil
 	}
-	err := e.addConfiguration(&reply, request.Version)
+	var err error
+	if reply.Orders, err = e.rollouts.Encode(); err != nil {
+		return reply, err
+	}
+	err = e.addConfiguration(&reply, request.Version)
 	if err != nil {
 		return reply, err
 	}
--- a/lib/bfnews/news_test.go
+++ b/lib/bfnews/news_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	"bilberryflow.org/lib/bflog"
 	"bilberryflow.org/lib/bfmetric"
 	"bilberryflow.org/lib/bfpeer"
+	"bilberryflow.org/lib/bfstore"
 	"bilberryflow.org/lib/bftimer"
 	"bilberryflow.org/lib/bftraffic"
 )
@@ -34,11 +36,13 @@
 	current      bool
 	fleet        *bffleet.Fleet
 	address      string
+	// restored is the result of StoreRestored.
+	restored atomic.Bool
 }
 
 func (h *memoryState) Version() bftraffic.Version { return h.traffic.Version() }
 
-func (h *memoryState) Revision() uint64 {
+func (h *memoryState) Revision() bfstore.Revision {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.roster.Revision
@@ -118,9 +122,11 @@
 
 func (h *memoryState) Follows() bool { return h.Current() }
 
-func (h *memoryState) VersionAsOf() uint64 { return 0 }
+func (h *memoryState) StoreRestored() bool { return h.restored.Load() }
 
-func (h *memoryState) ConfirmVersion(bftraffic.Version, uint64) {}
+func (h *memoryState) VersionAsOf() bfstore.Revision { return 0 }
+
+func (h *memoryState) ConfirmVersion(bftraffic.Version, bfstore.Revision) {}
 
 // testSpec returns a configuration with one route per name.
 func testSpec(version bftraffic.Version, names ...string) bftraffic.Spec {
@@ -345,7 +351,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		rows := map[string]bffleet.Member{}
 		var states []Roster
-		for revision := range uint64(rapid.IntRange(2, 12).Draw(t, "revisions")) {
+		for revision := range bfstore.Revision(rapid.IntRange(2, 12).Draw(t, "revisions")) {
 			key := fmt.Sprint("in-", rapid.IntRange(0, 4).Draw(t, "row"))
 			if rapid.Bool().Draw(t, "removed") {
 				delete(rows, key)
--- a/lib/bfnews/push.go
+++ b/lib/bfnews/push.go
@@ -8,6 +8,7 @@
 	"bilberryflow.org/lib/bfcodec"
 	"bilberryflow.org/lib/bffleet"
 	"bilberryflow.org/lib/bflog"
+	"bilberryflow.org/lib/bfstore"
 	"bilberryflow.org/lib/bftraffic"
 )
 
@@ -18,10 +19,10 @@
 // previous update.
 type update struct {
 	Version  bftraffic.Version `json:"version"`
-	Revision uint64            `json:"revision"`
+	Revision bfstore.Revision  `json:"revision"`
 	// AsOf is the store revision at which the version is the newest one.
-	AsOf uint64 `json:"as_of,omitempty"`
-	Peer string `json:"peer"`
+	AsOf bfstore.Revision `json:"as_of,omitempty"`
+	Peer string           `json:"peer"`
 	// Delta is a bftraffic.Delta in CBOR, Members a MembersDelta; empty if nothing changed.
 	Delta   []byte `json:"delta,omitempty"`
 	Members []byte `json:"members,omitempty"`
@@ -35,6 +36,8 @@
 	Hint bool `json:"hint,omitempty"`
 	// Quarantine is the Reconciler's digest.
 	Quarantine uint64 `json:"quarantine,omitempty"`
+	// Rollouts is the digest of the roll-outs.
+	Rollouts uint64 `json:"rollouts,omitempty"`
 }
 
 // Changed triggers an immediate update to the downstream nodes.
@@ -94,7 +97,7 @@
 // VersionAsOf is read before the version: in the reverse order, a change in between would mark
 // an old version as the newest at the revision of the change.
 func (e *Exchange) newUpdate(reader bool) update {
-	u := update{AsOf: e.state.VersionAsOf(), Peer: e.self, Quarantine: e.quarantine.Digest(), Reader: reader, Fresh: reader || e.receivedRecently(&e.received.reader)}
+	u := update{AsOf: e.state.VersionAsOf(), Peer: e.self, Quarantine: e.quarantine.Digest(), Rollouts: e.rollouts.Digest(), Reader: reader, Fresh: reader || e.receivedRecently(&e.received.reader)}
 	u.Version, u.Revision = e.state.Version(), e.state.Revision()
 	return u
 }
@@ -203,6 +206,7 @@
 	e.recordReceipt(u)
 	if !u.Hint {
 		e.quarantine.ObserveDigest(u.Peer, u.Quarantine)
+		e.rollouts.ObserveDigest(u.Peer, u.Rollouts)
 	}
 	e.applyDelta(u.Delta)
 	e.applyMembersDelta(u.Members)
--- a/lib/bfnews/reading.go
+++ b/lib/bfnews/reading.go
@@ -70,7 +70,8 @@
 //
 // A node that restarts beside its running target reads its first version at once, to serve
 // without delay; if all nodes restart, no peer has a version. A new node, whose target is still
-// starting, receives the version from a peer.
+// starting, receives the version from a peer, and so does any node if the store was restored from
+// a copy, which may hold an older version than the one in force.
 func (e *Exchange) ReadsVersions() bool {
 	if e.state.Version() > 0 {
 		return e.ReadsStore()
@@ -83,7 +84,7 @@
 	case p.size == 0:
 		return e.uptime() > int64(isolatedVersionTimeout)
 	}
-	return isMember || e.uptime() > int64(versionTimeout)
+	return isMember && !e.state.StoreRestored() || e.uptime() > int64(versionTimeout)
 }
 
 // timedOut reports whether nothing was received for at least timeout.
@@ -133,7 +134,7 @@
 // fetchesVersion reports whether the first version is fetched from other nodes.
 func (e *Exchange) fetchesVersion() bool {
 	_, isMember := e.fleet.Member(e.place.Inbound)
-	return !e.firstStart && (!isMember || e.uptime() > int64(versionTimeout))
+	return !e.firstStart && (!isMember || e.state.StoreRestored() || e.uptime() > int64(versionTimeout))
 }
 
 // BatchWriter returns the peer address of the node that writes rows for all nodes, "" if the
--- a/lib/bfpresence/presence.go
+++ b/lib/bfpresence/presence.go
@@ -21,7 +21,7 @@
 	Rows  bfstore.TableStore
 	// WriteBatched writes the row in a batch with rows of other nodes. If it is nil or returns
 	// an error other than ConflictError, the node writes the row directly.
-	WriteBatched func(ctx context.Context, write bfstore.RowWrite) (uint64, error)
+	WriteBatched func(ctx context.Context, write bfstore.RowWrite) (bfstore.Revision, error)
 	Timer        *bftimer.Service
 	Logger       *bflog.Logger
 	Metrics      *bfmetric.Registry
@@ -145,7 +145,7 @@
 	if err != nil {
 		return err
 	}
-	p.config.Logger.Emit(bflog.Announced, slog.Bool("present", desired != nil), slog.Uint64("revision", written.Revision))
+	p.config.Logger.Emit(bflog.Announced, slog.Bool("present", desired != nil), slog.String("revision", written.Revision.String()))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if written.Revision >= p.observed.Revision {
@@ -167,7 +167,7 @@
 // commit makes the write in a batch, or directly if that fails. If the batching node made the
 // write but its reply was lost, the direct write fails with a conflict, and the table's
 // follower reports the row.
-func (p *Presence) commit(ctx context.Context, write bfstore.RowWrite) (uint64, error) {
+func (p *Presence) commit(ctx context.Context, write bfstore.RowWrite) (bfstore.Revision, error) {
 	if p.config.WriteBatched != nil {
 		revision, err := p.config.WriteBatched(ctx, write)
 		var conflict *bfstore.ConflictError
--- a/lib/bfpresence/presence_test.go
+++ b/lib/bfpresence/presence_test.go
@@ -52,7 +52,7 @@
 	return err
 }
 
-func (s *store) Write(ctx context.Context, table string, writes ...bfstore.RowWrite) (revision uint64, err error) {
+func (s *store) Write(ctx context.Context, table string, writes ...bfstore.RowWrite) (revision bfstore.Revision, err error) {
 	err = s.write(func() (err error) {
 		revision, err = s.MemoryTableStore.Write(ctx, table, writes...)
 		return err
@@ -162,7 +162,7 @@
 		p.SetDesired([]byte("here"))
 		synctest.Wait()
 		is.NoErr(s.MemoryTableStore.Remove(context.Background(), "members", "self", s.row().Revision))
-		p.Observe(bfstore.Entry{Key: "self", Removed: true, Revision: 2})
+		p.Observe(bfstore.Entry{Key: "self", Removed: true, Revision: bfstore.RevisionOf(1, 2)})
 		synctest.Wait()
 		is.Equal(string(s.row().Value), "here")
 	})
@@ -193,7 +193,7 @@
 			timer := bftimer.New(1)
 			p := New(Config{
 				Table: "members", Key: "self", Rows: s, Timer: timer, Logger: bflog.Discard(), Metrics: bfmetric.New(),
-				WriteBatched: func(ctx context.Context, write bfstore.RowWrite) (uint64, error) {
+				WriteBatched: func(ctx context.Context, write bfstore.RowWrite) (bfstore.Revision, error) {
 					if performed {
 						// The second attempt is a conflict, since the first was made.
 						_, _ = s.MemoryTableStore.Write(ctx, "members", write)
@@ -208,7 +208,7 @@
 			p.SetDesired([]byte("here"))
 			time.Sleep(time.Second)
 			is.Equal(string(s.row().Value), "here")
-			is.Equal(s.row().Revision, uint64(1))
+			is.Equal(s.row().Revision, bfstore.RevisionOf(1, 1))
 			is.True(s.count() <= 2)
 			group.Cancel()
 			is.NoErr(group.Wait())
--- a/lib/bfstore/memoryrows.go
+++ b/lib/bfstore/memoryrows.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -10,34 +11,43 @@
 
 // MemoryTableStore is an in-memory TableStore, for tests and the platform stand-in. It is safe for concurrent use.
 type MemoryTableStore struct {
-	mu       sync.Mutex
-	revision uint64
-	// tables holds each table's rows by key, removed ones included.
+	mu sync.Mutex
+	// era counts the restores from a copy, number the writes.
+	era, number uint64
+	// tables holds each table's rows by key, removed ones included. Their revisions have no era:
+	// a row keeps its number over a restore, and is returned with the store's present era.
 	tables map[string]map[string]Entry
-	// compactedRevision is the revision up to which the change history was dropped.
-	compactedRevision uint64
+	// compacted is the number up to which the change history was dropped.
+	compacted uint64
 	// changed is closed and replaced at every change, to wake waiting Changes calls.
 	changed chan struct{}
 }
 
+// firstEra is the era of a store that was never restored.
+const firstEra = 1
+
 // NewMemoryTableStore returns an empty store.
 func NewMemoryTableStore() *MemoryTableStore {
-	return &MemoryTableStore{tables: map[string]map[string]Entry{}, changed: make(chan struct{})}
+	return &MemoryTableStore{era: firstEra, tables: map[string]map[string]Entry{}, changed: make(chan struct{})}
 }
 
 // List implements TableStore.
-func (m *MemoryTableStore) List(_ context.Context, table string) ([]Entry, uint64, error) {
+func (m *MemoryTableStore) List(_ context.Context, table string) ([]Entry, Revision, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	entries := m.changedSince(table, 0)
-	return slices.DeleteFunc(entries, func(e Entry) bool { return e.Removed }), m.revision, nil
+	return slices.DeleteFunc(entries, func(e Entry) bool { return e.Removed }), m.revision(), nil
 }
 
-// changedSince returns by key the rows changed after a revision; m.mu must be held.
+// revision returns the store's present revision; m.mu must be held.
+func (m *MemoryTableStore) revision() Revision { return RevisionOf(m.era, m.number) }
+
+// changedSince returns by key the rows changed after a number; m.mu must be held.
 func (m *MemoryTableStore) changedSince(table string, after uint64) []Entry {
 	var entries []Entry
 	for _, entry := range m.tables[table] {
-		if entry.Revision > after {
+		if number := entry.Revision.Number(); number > after {
+			entry.Revision = RevisionOf(m.era, number)
 			entries = append(entries, entry)
 		}
 	}
@@ -45,12 +55,14 @@
 	return entries
 }
 
-// Changes implements TableStore; its errors are *HistoryError and that of ctx.
-func (m *MemoryTableStore) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Entry, uint64, error) {
+// Changes implements TableStore; its errors are *HistoryError and that of ctx. Like the
+// platform's store it receives a number without its era: after a restore it returns the rows
+// changed after that number in the new era.
+func (m *MemoryTableStore) Changes(ctx context.Context, table string, after Revision, wait time.Duration) ([]Entry, Revision, error) {
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
-		entries, revision, changed, err := m.poll(table, after)
+		entries, revision, changed, err := m.poll(table, after.Number())
 		if err != nil || len(entries) > 0 {
 			return entries, revision, err
 		}
@@ -64,28 +76,29 @@
 	}
 }
 
-func (m *MemoryTableStore) poll(table string, after uint64) ([]Entry, uint64, <-chan struct{}, error) {
+func (m *MemoryTableStore) poll(table string, after uint64) ([]Entry, Revision, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if after < m.compactedRevision {
-		return nil, 0, nil, &HistoryError{Table: table, After: after}
+	if after < m.compacted || after > m.number {
+		return nil, 0, nil, &HistoryError{Table: table, After: RevisionOf(m.era, after)}
 	}
-	return m.changedSince(table, after), m.revision, m.changed, nil
+	return m.changedSince(table, after), m.revision(), m.changed, nil
 }
 
 // Put writes a row if it still has the revision, and returns its new revision.
-func (m *MemoryTableStore) Put(ctx context.Context, table, key string, value []byte, revision uint64) (uint64, error) {
+func (m *MemoryTableStore) Put(ctx context.Context, table, key string, value []byte, revision Revision) (Revision, error) {
 	return m.Write(ctx, table, RowWrite{Key: key, Value: value, Revision: revision})
 }
 
 // Remove removes a row if it still has the revision.
-func (m *MemoryTableStore) Remove(ctx context.Context, table, key string, revision uint64) error {
+func (m *MemoryTableStore) Remove(ctx context.Context, table, key string, revision Revision) error {
 	_, err := m.Write(ctx, table, RowWrite{Key: key, Remove: true, Revision: revision})
 	return err
 }
 
-// Write implements TableStore; its only error is a *ConflictError.
-func (m *MemoryTableStore) Write(_ context.Context, table string, writes ...RowWrite) (uint64, error) {
+// Write implements TableStore; its only error is a *ConflictError. Like the platform's store it
+// compares the numbers of the expected revisions only.
+func (m *MemoryTableStore) Write(_ context.Context, table string, writes ...RowWrite) (Revision, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, w := range writes {
@@ -96,13 +109,12 @@
 	if m.tables[table] == nil {
 		m.tables[table] = map[string]Entry{}
 	}
-	m.revision++
+	m.number++
 	for _, w := range writes {
-		m.tables[table][w.Key] = Entry{Key: w.Key, Value: w.Value, Revision: m.revision, Removed: w.Remove}
+		m.tables[table][w.Key] = Entry{Key: w.Key, Value: w.Value, Revision: RevisionOf(0, m.number), Removed: w.Remove}
 	}
-	close(m.changed)
-	m.changed = make(chan struct{})
-	return m.revision, nil
+	m.wake()
+	return m.revision(), nil
 }
 
 // checkRevision returns a *ConflictError if the row's revision is not the expected one; m.mu must be held.
@@ -112,17 +124,60 @@
 	if held.Removed {
 		present = 0
 	}
-	if present != w.Revision {
-		return &ConflictError{Row: Row{Key: w.Key, Value: held.Value, Revision: present}}
+	if present.Number() != w.Revision.Number() {
+		return &ConflictError{Row: Row{Key: w.Key, Value: held.Value, Revision: present.Number()}}
 	}
 	return nil
 }
 
+// wake wakes the waiting Changes calls; m.mu must be held.
+func (m *MemoryTableStore) wake() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
 // DropHistory drops the change history, so that Changes after an earlier revision returns a *HistoryError.
 func (m *MemoryTableStore) DropHistory() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.compactedRevision = m.revision
-	close(m.changed)
-	m.changed = make(chan struct{})
+	m.compacted = m.number
+	m.wake()
+}
+
+// Era returns the store's era, which each Restore raises by one.
+func (m *MemoryTableStore) Era() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.era
+}
+
+// Backup is a copy of a MemoryTableStore's rows.
+type Backup struct {
+	number uint64
+	tables map[string]map[string]Entry
+}
+
+// Backup returns a copy of the store's present rows.
+func (m *MemoryTableStore) Backup() Backup {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Backup{number: m.number, tables: cloneTables(m.tables)}
+}
+
+// Restore replaces the store's rows and its counter by those of a copy and begins the next era.
+func (m *MemoryTableStore) Restore(from Backup) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.era++
+	m.number, m.tables = from.number, cloneTables(from.tables)
+	m.compacted = min(m.compacted, m.number)
+	m.wake()
+}
+
+func cloneTables(tables map[string]map[string]Entry) map[string]map[string]Entry {
+	clone := make(map[string]map[string]Entry, len(tables))
+	for name, rows := range tables {
+		clone[name] = maps.Clone(rows)
+	}
+	return clone
 }
