--- a/bfnode/internal/bfmesh/stop_test.go
+++ b/bfnode/internal/bfmesh/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -42,3 +43,19 @@
 	n.host.HandleDeparture(bfhost.Departure{Incarnation: "a"})
 	is.True(!n.presence.InSync()) // the row is to be removed
 }
+
+// Guards against new requests for a target that has left: a restored store may hold again the row
+// that its node had removed.
+func TestTargetIsNotTakenFromTheRowOfARestoredStore(t *testing.T) {
+	own := bffleet.Member{Inbound: "127.0.0.1:1", Service: "portal", Slots: 9, Incarnation: "a", Address: "127.0.0.1:3"}
+	for era, want := range map[uint64]bool{0: true, firstEra: true, firstEra + 1: false} {
+		t.Run(fmt.Sprint("era ", era), func(t *testing.T) {
+			is := is.New(t)
+			common := CommonSettings{Instance: "portal-1", Service: "portal", FailureDomain: "nord", Inbound: own.Inbound, PlatformAddress: "127.0.0.1:2"}
+			n := newNode(common, MeshSettings{Grace: bfsettings.Duration(6 * time.Second), LinkMbps: 1000}, bflog.Discard())
+			n.store.Observe(era)
+			n.restoreTarget(own)
+			is.Equal(n.host.Target() != nil, want)
+		})
+	}
+}
--- a/lib/bfbackup/backup_test.go
+++ b/lib/bfbackup/backup_test.go
@@ -131,6 +131,25 @@
 	}
 }
 
+// Guards against a quarantine that is lost with a restore of the store from an older copy.
+func TestCopyIsWrittenAgainAfterARestoreOfTheStore(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	s := &faultyStore{MemoryTableStore: bfstore.NewMemoryTableStore()}
+	b, book := newNode(s, true)
+	b.config.Era = s.Era
+	is.NoErr(b.step(ctx))
+	backup := s.Backup()
+	hold(book, "bad")
+	is.NoErr(b.step(ctx))
+	s.Restore(backup)
+	is.NoErr(b.step(ctx))
+	restarted, restored := newNode(s, false)
+	is.NoErr(restarted.step(ctx))
+	_, held := restored.View().Refuse(keyOf("bad"), time.Now())
+	is.True(held)
+}
+
 // Guards against a row larger than the platform accepts, and against an undecodable row that is never replaced.
 func TestRowSizeAndDecodeErrors(t *testing.T) {
 	is := is.New(t)
--- a/lib/bfdeploy/conductor_test.go
+++ b/lib/bfdeploy/conductor_test.go
@@ -38,14 +38,15 @@
 	return version, state, err
 }
 
-// faultyStore counts writes, and can be unavailable or lose the responses of writes.
+// faultyStore counts reads and writes, and can be unavailable or lose the responses of writes.
 type faultyStore struct {
 	*bfstore.MemoryTableStore
-	writes                    atomic.Int32
+	reads, writes             atomic.Int32
 	unavailable, loseResponse atomic.Bool
 }
 
 func (s *faultyStore) List(ctx context.Context, table string) ([]bfstore.Entry, bfstore.Revision, error) {
+	s.reads.Add(1)
 	if s.unavailable.Load() {
 		return nil, 0, &bfstore.UnavailableError{Reason: "test"}
 	}
@@ -223,7 +224,7 @@
 }
 
 // Guards against a good version that is not completed in time, and against a status that each node
-// writes.
+// reads and writes.
 func TestGoodVersionIsCompleted(t *testing.T) {
 	withFleet(t, func(f *fleet) {
 		f.nodes["n0"].Observe(testOrder, true)
@@ -233,6 +234,7 @@
 		f.Equal(f.status(), statusOf(bfrollout.Completed))
 		f.Equal(f.states(), all(bfrollout.Completed))
 		f.Equal(f.store.writes.Load(), int32(2))
+		f.Equal(f.store.reads.Load(), int32(2))
 	})
 }
 
--- a/lib/bfnews/news_test.go
+++ b/lib/bfnews/news_test.go
@@ -568,6 +568,8 @@
 	state.ApplyRoster(Roster{Revision: 1, Members: append(all, bffleet.Member{Inbound: address, Peer: address, Domain: "nord"})})
 	is.True(!exchange.ReadsStore())
 	is.True(exchange.ReadsVersions()) // its row existed at the start, so its target is running
+	state.restored.Store(true)
+	is.True(!exchange.ReadsVersions()) // a restored store may hold an older version than its peers
 	waitFor(t, "the node reads the store", exchange.ReadsStore)
 }
 
--- a/lib/bfrollout/rollout_test.go
+++ b/lib/bfrollout/rollout_test.go
@@ -249,3 +249,23 @@
 	is.Equal(old, 20)
 	is.Equal(renewed, 20)
 }
+
+// Guards against a version that turns bad late and is protected by its good start.
+func TestLateDefectIsFoundAfterALongGoodTime(t *testing.T) {
+	is := is.New(t)
+	var l Ledger
+	add := func(bucket, bad int) {
+		renewed := map[string]Sums{"t1": {Requests: 10, Bad: bad}, "t2": {Requests: 10, Bad: bad}}
+		l.Add("n", []Cell{{Bucket: bucket, Routes: map[string]Pair{"r": {Old: Sums{Requests: 300}, New: renewed}}}})
+	}
+	for bucket := range 100 {
+		add(bucket, 0)
+	}
+	_, ok := l.Judge(2)
+	is.True(!ok)
+	add(100, 4)
+	finding, ok := l.Judge(2)
+	is.True(ok)
+	is.Equal(finding.What, failures)
+	is.Equal(finding.New.Requests, 20)
+}
