--- a/bfnode/internal/bfmesh/stop_test.go
+++ b/bfnode/internal/bfmesh/stop_test.go
@@ -8,11 +8,13 @@
 
 	"github.com/matryer/is"
 
+	"bilberryflow.org/lib/bfera"
 	"bilberryflow.org/lib/bffleet"
 	"bilberryflow.org/lib/bfhost"
 	"bilberryflow.org/lib/bflog"
 	"bilberryflow.org/lib/bfsettings"
 	"bilberryflow.org/lib/bfstore"
+	"bilberryflow.org/lib/bftimer"
 )
 
 // On a planned restart of the node its target keeps running, so the node must keep its
@@ -51,8 +53,8 @@
 	for era, want := range map[uint64]bool{0: true, firstEra: true, firstEra + 1: false} {
 		t.Run(fmt.Sprint("era ", era), func(t *testing.T) {
 			is := is.New(t)
-			common := CommonSettings{Instance: "portal-1", Service: "portal", FailureDomain: "nord", Inbound: own.Inbound, PlatformAddress: "127.0.0.1:2"}
-			n := newNode(common, MeshSettings{Grace: bfsettings.Duration(6 * time.Second), LinkMbps: 1000}, bflog.Discard())
+			n := &node{store: bfera.New(bfstore.NewMemoryTableStore(), bflog.Discard())}
+			n.host = bfhost.New(bfhost.Config{Service: "portal", Timer: bftimer.New(1), Changed: func(*bfhost.Target) {}})
 			n.store.Observe(era)
 			n.restoreTarget(own)
 			is.Equal(n.host.Target() != nil, want)
