--- a/lib/bfentry/entry_test.go
+++ b/lib/bfentry/entry_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -116,7 +117,7 @@
 		Incarnation: "a", Sequence: 1, Service: "portal", State: bfhost.Ready, Slots: slots,
 		Address: strings.TrimPrefix(target.URL, "http://"),
 	})
-	n.inbound = httptest.NewServer(bfhost.NewInbound(n.host, nil))
+	n.inbound = startAtOwnAddress(t, bfhost.NewInbound(n.host, nil))
 	t.Cleanup(func() {
 		target.CloseClientConnections()
 		n.inbound.CloseClientConnections()
@@ -126,6 +127,22 @@
 	return n
 }
 
+// startAtOwnAddress starts a server at a loopback address that only this process uses. On 127.0.0.1 a
+// port that a test has closed may be taken by another process, or by the connection that probes it.
+func startAtOwnAddress(t *testing.T, handler http.Handler) *httptest.Server {
+	t.Helper()
+	pid := os.Getpid()
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>16&0x3f, pid>>8&0xff, pid&0xff))
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewUnstartedServer(handler)
+	server.Listener.Close()
+	server.Listener = listener
+	server.Start()
+	return server
+}
+
 // send sends a caller's request and returns "status body", or "cut" if the answer is incomplete.
 func (m *mesh) send(method, path string, header map[string]string) (string, http.Header) {
 	r, err := http.NewRequest(method, m.front.URL+path, strings.NewReader(""))
