bfrollout: a finding needs most of the targets that were tried

Two bad targets of four were enough, and the limit between the run times was so high that fast machines hid a slow version.

--- a/lib/bfrollout/judge.go
+++ b/lib/bfrollout/judge.go
@@ -16,10 +16,14 @@
 	maxLogRatio = 9
 	// suspectLogRatio is the ratio at which a version is suspect. It doesn't end the test, but the
 	// traffic isn't moved to a suspect version.
-	suspectLogRatio = 4.5
-	// minSupport is the part of that ratio that must come from targets other than the one that
-	// contributes most.
-	minSupport = 2.5
+	suspectLogRatio = 6
+	// A finding needs evidence of at least minSupport from minSupporters targets or all there are, and
+	// from this share of those that ran minTargetRequests: a target may fail or be slow whatever its
+	// version is.
+	minSupport        = 1
+	minSupporters     = 3
+	minSupportShare   = 0.6
+	minTargetRequests = 4
 	// minFailureRate is the least failure rate assumed of the old version, and failureFactor the
 	// factor by which a good version may exceed the old one's rate.
 	minFailureRate, failureFactor = 0.02, 1.5
@@ -27,7 +31,7 @@
 	badFailures = 0.15
 	// goodSlowdown and badSlowdown are the logarithms of the run times of a good and of a bad
 	// version relative to the old one's. A good one may have slower machines or fuller targets.
-	goodSlowdown, badSlowdown = 0.5, 1.1
+	goodSlowdown, badSlowdown = 0.35, 0.95
 	// minDeviation is the least deviation of the logarithms of run times that is assumed.
 	minDeviation = 0.6
 	// minReference is the number of the old version's requests from which the comparison counts.
@@ -88,8 +92,9 @@
 // cusum is the state of one test.
 type cusum struct {
 	value float64
-	// parts are the shares of the value by target of the new version.
+	// parts and requests are the shares of the value and the requests by target of the new version.
 	parts    map[string]float64
+	requests map[string]int
 	old, new Sums
 }
 
@@ -105,23 +110,32 @@
 	}
 	c.value += total
 	if c.parts == nil {
-		c.parts = map[string]float64{}
+		c.parts, c.requests = map[string]float64{}, map[string]int{}
 	}
 	for target, ratio := range ratios {
 		c.parts[target] += ratio
+		c.requests[target] += p.New[target].Requests
 	}
 	c.old.add(p.Old, 1)
 	c.new.add(p.allNew(), 1)
 }
 
-// finds reports whether the value has reached a limit, and is not owed to a single target: a target
-// may fail or be slow whatever its version is. isOnly is set if the new version has one target.
-func (c *cusum) finds(limit float64, isOnly bool) bool {
+// finds reports whether the value has reached a limit, and most targets contribute to it. targets is
+// the number of targets of the new version.
+func (c *cusum) finds(limit float64, targets int) bool {
 	if c.value < limit {
 		return false
 	}
-	largest := slices.Max(slices.Collect(maps.Values(c.parts)))
-	return isOnly || c.value-largest >= minSupport
+	tried, supporters := 0, 0
+	for target, part := range c.parts {
+		if c.requests[target] >= minTargetRequests {
+			tried++
+		}
+		if part >= minSupport {
+			supporters++
+		}
+	}
+	return supporters >= min(minSupporters, targets) && float64(supporters) >= minSupportShare*float64(tried)
 }
 
 func (c *cusum) finding(key testKey) Finding {
@@ -143,7 +157,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for key, test := range l.tests() {
-		if test.finds(limit, targets <= 1) {
+		if test.finds(limit, targets) {
 			return test.finding(key), true
 		}
 	}
