Members that a restored store lacks stay in lists of the same era too

A member now stays as long as its row is of an earlier era than the list, whatever the held revision is.

--- a/bfnode/internal/bfmesh/state.go
+++ b/bfnode/internal/bfmesh/state.go
@@ -176,11 +176,11 @@
 		}
 	}
 	s.mu.Lock()
-	if held := s.revision; batch.Revision >= held {
+	if batch.Revision >= s.revision {
 		s.revision = batch.Revision
 		s.membersUpdated.set()
 		if batch.Full {
-			s.fleet.Replace(s.withUnwritten(members, held, batch.Revision))
+			s.fleet.Replace(s.withUnwritten(members, batch.Revision))
 		} else {
 			s.fleet.Change(members, removed)
 		}
@@ -193,31 +193,33 @@
 	}
 }
 
-// withUnwritten adds to a full list of members those that are held but missing in it, if the
-// store has begun another era since the held revision. Their rows were lost with the restore and
-// are written again by their nodes; until then their targets keep receiving requests.
-func (s *state) withUnwritten(members []bffleet.Member, held, listed bfstore.Revision) []bffleet.Member {
-	if held == 0 || held.Era() == listed.Era() {
-		return members
-	}
+// withUnwritten adds to a full list of members those that are held, missing in it and of an earlier
+// era. Their rows were lost with a restore of the store and are written again by their nodes;
+// until then their targets keep receiving requests, also if a peer's list lacks them.
+func (s *state) withUnwritten(members []bffleet.Member, listed bfstore.Revision) []bffleet.Member {
 	present := make(map[string]bool, len(members))
 	for _, m := range members {
 		present[m.Inbound] = true
 	}
 	for _, m := range s.fleet.Members() {
-		if !present[m.Inbound] {
+		if !present[m.Inbound] && isUnwritten(m, listed) {
 			members = append(members, m)
 		}
 	}
 	return members
 }
 
+// isUnwritten reports whether a member's row is of an era before that of a revision.
+func isUnwritten(m bffleet.Member, revision bfstore.Revision) bool {
+	return m.Revision.Era() < revision.Era()
+}
+
 // DropUnwritten removes a member whose row was lost with a restore of the store and whose node is
 // unreachable: there is no row to remove. It reports false if the member has a row.
 func (s *state) DropUnwritten(member bffleet.Member) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if held, found := s.fleet.Member(member.Inbound); !found || held != member || member.Revision.Era() >= s.revision.Era() {
+	if held, found := s.fleet.Member(member.Inbound); !found || held != member || !isUnwritten(member, s.revision) {
 		return false
 	}
 	s.fleet.Change(nil, []string{member.Inbound})
@@ -251,30 +253,35 @@
 
 // ApplyRoster replaces the members by another node's if those are of a later revision.
 func (s *state) ApplyRoster(roster bfnews.Roster) {
-	s.applyFromPeer(roster.Revision, func(held bfstore.Revision) bool { return roster.Revision > held }, func(held bfstore.Revision) {
-		s.fleet.Replace(s.withUnwritten(roster.Members, held, roster.Revision))
+	s.applyFromPeer(roster.Revision, func(held bfstore.Revision) bool { return roster.Revision > held }, func() {
+		s.fleet.Replace(s.withUnwritten(roster.Members, roster.Revision))
 	})
 }
 
 // ApplyMembersDelta applies the changes of another node's members if they apply to the
 // revision held.
 func (s *state) ApplyMembersDelta(delta bfnews.MembersDelta) {
-	s.applyFromPeer(delta.Revision, delta.AppliesTo, func(bfstore.Revision) { s.fleet.Change(delta.Changed, delta.Gone) })
+	s.applyFromPeer(delta.Revision, delta.AppliesTo, func() {
+		gone := slices.DeleteFunc(delta.Gone, func(inbound string) bool {
+			held, found := s.fleet.Member(inbound)
+			return found && isUnwritten(held, delta.Revision)
+		})
+		s.fleet.Change(delta.Changed, gone)
+	})
 }
 
 // applyFromPeer applies another node's members as of a revision if fits accepts the
 // revision held.
-func (s *state) applyFromPeer(revision bfstore.Revision, fits func(held bfstore.Revision) bool, apply func(held bfstore.Revision)) {
+func (s *state) applyFromPeer(revision bfstore.Revision, fits func(held bfstore.Revision) bool, apply func()) {
 	s.observeEra(revision.Era())
 	s.mu.Lock()
-	held := s.revision
-	if !fits(held) {
+	if !fits(s.revision) {
 		s.mu.Unlock()
 		return
 	}
 	s.revision = revision
 	s.membersUpdated.set()
-	apply(held)
+	apply()
 	s.mu.Unlock()
 	s.changed()
 	s.logger.Emit(bflog.FleetChanged, slog.Int("members", s.fleet.Size()), slog.Bool("from_peer", true))
--- a/bfnode/internal/bfmesh/state_test.go
+++ b/bfnode/internal/bfmesh/state_test.go
@@ -112,9 +112,13 @@
 			is.Equal(unwritten.Revision, before)
 			written, _ := s.fleet.Member("10.0.0.1:1")
 			is.True(!s.DropUnwritten(written))
+			later := bfstore.RevisionOf(2, 41)
+			s.ApplyRoster(bfnews.Roster{Revision: later, Members: []bffleet.Member{written}}) // of a peer that never knew the other
+			s.ApplyMembersDelta(bfnews.MembersDelta{Base: later, Revision: later + 1, Gone: []string{"10.0.0.2:1"}})
+			is.Equal(s.fleet.Size(), 2)
 			is.True(s.DropUnwritten(unwritten)) // unreachable: it has no row that could be removed
 			is.Equal(s.fleet.Size(), 1)
-			s.applyMembers(bffollow.Batch{Full: true, Entries: nil, Revision: bfstore.RevisionOf(2, 41)})
+			s.applyMembers(bffollow.Batch{Full: true, Entries: nil, Revision: bfstore.RevisionOf(2, 43)})
 			is.Equal(s.fleet.Size(), 0) // within an era a full list is complete
 		})
 	}
