--- a/lib/bfrollout/judge.go
+++ b/lib/bfrollout/judge.go
@@ -17,13 +17,14 @@
 	// suspectLogRatio is the ratio at which a version is suspect. It doesn't end the test, but the
 	// traffic isn't moved to a suspect version.
 	suspectLogRatio = 6
-	// A finding needs evidence of at least minSupport from minSupporters targets or all there are, and
-	// from this share of those that ran minTargetRequests: a target may fail or be slow whatever its
-	// version is.
-	minSupport        = 1
-	minSupporters     = 3
-	minSupportShare   = 0.6
-	minTargetRequests = 4
+	// A finding needs evidence of at least minSupport from some targets, or all there are, and from
+	// minSupportShare of those that ran minTargetRequests: a target may fail or be slow whatever its
+	// version is. Slow ones are more frequent, since machines differ.
+	minSupport           = 1
+	minFailureSupporters = 2
+	minRunTimeSupporters = 3
+	minSupportShare      = 0.6
+	minTargetRequests    = 4
 	// minFailureRate is the least failure rate assumed of the old version, and failureFactor the
 	// factor by which a good version may exceed the old one's rate.
 	minFailureRate, failureFactor = 0.02, 1.5
@@ -120,9 +121,8 @@
 	c.new.add(p.allNew(), 1)
 }
 
-// finds reports whether the value has reached a limit, and most targets contribute to it. targets is
-// the number of targets of the new version.
-func (c *cusum) finds(limit float64, targets int) bool {
+// finds reports whether the value has reached a limit, and enough targets contribute to it.
+func (c *cusum) finds(limit float64, minSupporters int) bool {
 	if c.value < limit {
 		return false
 	}
@@ -135,7 +135,7 @@
 			supporters++
 		}
 	}
-	return supporters >= min(minSupporters, targets) && float64(supporters) >= minSupportShare*float64(tried)
+	return supporters >= minSupporters && float64(supporters) >= minSupportShare*float64(tried)
 }
 
 func (c *cusum) finding(key testKey) Finding {
@@ -157,7 +157,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for key, test := range l.tests() {
-		if test.finds(limit, targets) {
+		minSupporters := minFailureSupporters
+		if key.what == runTime {
+			minSupporters = minRunTimeSupporters
+		}
+		if test.finds(limit, min(minSupporters, targets)) {
 			return test.finding(key), true
 		}
 	}
