--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -228,6 +228,7 @@
 	return bffleet.Demand{
 		Service: c.service, Bytes: int(c.handler.sizes.get(name)), UsualTime: c.usualDuration(),
 		RunTime: time.Duration(c.handler.runTimes.get(name)), Left: c.timeLeft(), Objective: c.route.Objective(),
+		Nested:     c.parent != nil,
 		SameDomain: c.staysInDomain(refusal),
 	}
 }
