Refused requests leave a full failure domain in proportion to what they gain

A refused request might go to other domains with their acceptance rate as its chance, but went on comparing targets by cost, where an own one whose load is long unknown beats the way to another domain.

NextScope now sends it there with the probability by which the chance to be accepted rises beyond the cost of the way. The search lasts as long as the better rate allows.

--- a/lib/bfemulator/request.go
+++ b/lib/bfemulator/request.go
@@ -69,12 +69,19 @@
 	left := c.Objective.Std() - w.agenda.Now().Sub(r.firstAttempt)
 	demand := bffleet.Demand{
 		Service: c.Service, Bytes: 1500, UsualTime: entry.meanLatency[r.class], RunTime: c.Running.Std(), Objective: c.Objective.Std(), Left: left,
-		Nested:     r.parent != nil,
-		SameDomain: r.foundFull && r.parent == nil && !bfwalk.TriesOtherDomain(entry.crossDomain.Of(c.Service), w.random.Float64()),
+		Nested: r.parent != nil,
+	}
+	if r.foundFull && r.parent == nil {
+		switch bfwalk.NextScope(entry.sameDomain.Of(c.Service), entry.crossDomain.Of(c.Service), demand.HopCost(), w.random.Float64()).(type) {
+		case bfwalk.OwnDomain:
+			demand.SameDomain = true
+		case bfwalk.OtherDomains:
+			demand.OtherDomains = true
+		}
 	}
 	choice := entry.fleet.Pick(demand, w.agenda.Now(), r.tried)
 	target := choice.Target()
-	searchExpired := w.agenda.Now().Sub(r.attempt) > bfwalk.MaxSearch(c.Objective.Std(), entry.sameDomain.Of(c.Service))
+	searchExpired := w.agenda.Now().Sub(r.attempt) > bfwalk.MaxSearch(c.Objective.Std(), max(entry.sameDomain.Of(c.Service), entry.crossDomain.Of(c.Service)))
 	if target == nil || r.foundFull && r.parent == nil && searchExpired || !w.agenda.Now().Before(r.deadline) {
 		w.refuse(r)
 		return
