--- a/lib/bfemulator/request.go
+++ b/lib/bfemulator/request.go
@@ -81,7 +81,7 @@
 	}
 	choice := entry.fleet.Pick(demand, w.agenda.Now(), r.tried)
 	target := choice.Target()
-	searchExpired := w.agenda.Now().Sub(r.attempt) > bfwalk.MaxSearch(c.Objective.Std(), max(entry.sameDomain.Of(c.Service), entry.crossDomain.Of(c.Service)))
+	searchExpired := w.agenda.Now().Sub(r.attempt) > bfwalk.MaxSearch(c.Objective.Std(), entry.sameDomain.Best(c.Service, &entry.crossDomain))
 	if target == nil || r.foundFull && r.parent == nil && searchExpired || !w.agenda.Now().Before(r.deadline) {
 		w.refuse(r)
 		return
