--- a/lib/bfera/model_test.go
+++ b/lib/bfera/model_test.go
@@ -255,7 +255,8 @@
 				m.fail(fmt.Sprintf("node %d misses member %d for good", i, k))
 			}
 		}
-		if want := !(i == leaver && w.left || i == joiner && !w.joined); w.store.rows[i].present != want {
+		gone := i == leaver && w.left || i == joiner && !w.joined
+		if w.store.rows[i].present == gone {
 			m.fail(fmt.Sprintf("the row of node %d is wrong for good", i))
 		}
 	}
--- a/lib/bfera/store_test.go
+++ b/lib/bfera/store_test.go
@@ -43,9 +43,10 @@
 	return rows, New(rows, bflog.Discard())
 }
 
-func put(is *is.I, s bfstore.TableStore, key, value string, revision bfstore.Revision) bfstore.Revision {
+// put writes a row that does not exist.
+func put(is *is.I, s bfstore.TableStore, key, value string) bfstore.Revision {
 	is.Helper()
-	written, err := s.Write(context.Background(), table, bfstore.RowWrite{Key: key, Value: []byte(value), Revision: revision})
+	written, err := s.Write(context.Background(), table, bfstore.RowWrite{Key: key, Value: []byte(value)})
 	is.NoErr(err)
 	return written
 }
@@ -55,12 +56,12 @@
 func TestFeedDoesNotContinueInAnotherEra(t *testing.T) {
 	is := is.New(t)
 	rows, s := newStore()
-	put(is, s, "a", "1", 0)
+	put(is, s, "a", "1")
 	backup := rows.Backup()
-	held := put(is, s, "b", "lost", 0)
+	held := put(is, s, "b", "lost")
 	rows.Restore(backup)
-	put(is, rows, "c", "new", 0) // has the number that b had
-	put(is, rows, "d", "new", 0)
+	put(is, rows, "c", "new") // has the number that b had
+	put(is, rows, "d", "new")
 
 	entries, _, err := rows.Changes(context.Background(), table, held, 0)
 	is.NoErr(err)
@@ -80,7 +81,7 @@
 func TestAnswerOfAnEarlierEraIsDropped(t *testing.T) {
 	is := is.New(t)
 	rows, s := newStore()
-	put(is, s, "a", "1", 0)
+	put(is, s, "a", "1")
 	rows.before = func() { s.Observe(2) } // learned from another node while the answer is on its way
 	_, _, err := s.List(context.Background(), table)
 	var unavailable *bfstore.UnavailableError
@@ -96,9 +97,9 @@
 	is := is.New(t)
 	rows, s := newStore()
 	backup := rows.Backup()
-	held := put(is, s, "a", "1", 0)
+	held := put(is, s, "a", "1")
 	rows.Restore(backup)
-	put(is, rows, "a", "of another writer", 0)
+	put(is, rows, "a", "of another writer")
 	_, _, err := s.List(context.Background(), table)
 	is.NoErr(err)
 	_, err = s.Write(context.Background(), table, bfstore.RowWrite{Key: "a", Remove: true, Revision: held})
@@ -114,7 +115,7 @@
 func TestWriteDuringARestoreIsUnknown(t *testing.T) {
 	is := is.New(t)
 	rows, s := newStore()
-	held := put(is, s, "a", "1", 0)
+	held := put(is, s, "a", "1")
 	rows.before = func() { rows.Restore(rows.Backup()) }
 	_, err := s.Write(context.Background(), table, bfstore.RowWrite{Key: "a", Value: []byte("2"), Revision: held})
 	var unknown *bfstore.UnknownError
@@ -126,11 +127,11 @@
 func TestFeedHeldOverARestoreIsRestarted(t *testing.T) {
 	is := is.New(t)
 	rows, s := newStore()
-	held := put(is, s, "a", "1", 0)
+	held := put(is, s, "a", "1")
 	backup := rows.Backup()
 	time.AfterFunc(10*time.Millisecond, func() {
 		rows.Restore(backup)
-		put(is, rows, "b", "1", 0)
+		put(is, rows, "b", "1")
 	})
 	_, _, err := s.Changes(context.Background(), table, held, 5*time.Second)
 	var dropped *bfstore.HistoryError
--- a/lib/bfstore/revision.go
+++ b/lib/bfstore/revision.go
@@ -12,9 +12,10 @@
 const (
 	// numberBits is the size of the counter in a Revision; the era takes the other 16 bits.
 	numberBits = 48
-	// MaxNumber and MaxEra are the largest counter and era that a Revision can hold.
+	// MaxNumber is the largest counter that a Revision can hold.
 	MaxNumber = 1<<numberBits - 1
-	MaxEra    = 1<<(64-numberBits) - 1
+	// MaxEra is the largest era that a Revision can hold.
+	MaxEra = 1<<(64-numberBits) - 1
 )
 
 // RevisionOf returns the revision of a counter in an era.
