--- a/lib/bfdeploy/conductor.go
+++ b/lib/bfdeploy/conductor.go
@@ -126,10 +126,7 @@
 	nodes := c.nodes()
 	switch action := r.Next(now, c.isJudge(order, nodes), c.capacity(order)).(type) {
 	case bfrollout.Wait:
-		if state == bfrollout.Ordered {
-			return true
-		}
-		// Another era of the store may lack the row.
+		// A restored store may lack the row.
 		c.keepStatus(ctx, r, state, nodes)
 	case bfrollout.Verify:
 		if err := c.verify(ctx, order); err != nil {
--- a/lib/bfdeploy/status.go
+++ b/lib/bfdeploy/status.go
@@ -15,8 +15,8 @@
 type progress struct {
 	order bfrollout.Order
 	state bfrollout.State
-	// era is the era of the store in which the row is known to state it, 0 for none.
-	era uint64
+	// confirmed is the era of the store in which the row is known to state it, 0 for none.
+	confirmed uint64
 	// since is when the write became due, zero while it is not.
 	since time.Time
 }
@@ -33,7 +33,8 @@
 // keepStatus makes the status row state a state, unless it is known to do so in the present era of
 // the store. Each node waits for its turn.
 func (c *Conductor) keepStatus(ctx context.Context, r *bfrollout.Rollout, state bfrollout.State, nodes []bfrollout.Node) {
-	order, now, era := r.Order(), c.config.Timer.Now(), c.config.Era()
+	order, now := r.Order(), c.config.Timer.Now()
+	era := max(c.config.Era(), 1) // a store without eras counts as one in its first
 	p := c.progress[order.Service]
 	if p.order != order || p.state != state {
 		p = progress{order: order, state: state}
@@ -41,11 +42,11 @@
 	rank := c.rank(order, nodes)
 	// The record says that another node wrote the row. After a restore of the store only the first
 	// nodes check whether it is still there.
-	if recorded := r.Record(now).State == state; recorded && (p.era == 0 || rank >= verifiers) {
-		p.era, p.since = max(era, 1), time.Time{}
+	if recorded := r.Record(now).State == state; recorded && (p.confirmed == 0 || rank >= verifiers) {
+		p.confirmed, p.since = era, time.Time{}
 	}
 	switch {
-	case p.era == max(era, 1):
+	case p.confirmed == era:
 	case p.since.IsZero():
 		p.since = now
 	case now.Sub(p.since) >= time.Duration(rank)*rankDelay:
@@ -53,7 +54,7 @@
 			c.config.Logger.Emit(bflog.RolloutStatusError, orderAttr(order), slog.String("state", state.String()), bflog.Err(err))
 			break
 		}
-		p.era, p.since = max(era, 1), time.Time{}
+		p.confirmed, p.since = era, time.Time{}
 	}
 	c.progress[order.Service] = p
 }
--- a/lib/bfrollout/book.go
+++ b/lib/bfrollout/book.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -178,6 +177,3 @@
 	}
 	return chosen || r.record.State == Completed
 }
-
-// Name identifies the roll-out for operators.
-func (o Order) Name() string { return strings.Join([]string{o.Service, o.Version}, " to ") }
--- a/lib/bfrollout/order.go
+++ b/lib/bfrollout/order.go
@@ -26,12 +26,8 @@
 	return o.Revision == earlier.Revision || o.Revision.Era() != earlier.Revision.Era()
 }
 
-// Terms are the limits of all roll-outs.
+// Terms limit what a version receives in any roll-out before it is found good.
 type Terms struct {
-	// Share is the largest share of a service's requests that a version may receive before it is
-	// found good, and Slack a number of requests beside it.
+	// Share is the largest share of the service's requests, and Slack a number of requests beside it.
 	Share, Slack float64
-	// RollBack is the time after the first bad answers in which a bad version must stop receiving
-	// requests.
-	RollBack time.Duration
 }
