--- a/bftrial/internal/bfsoak/faults.go
+++ b/bftrial/internal/bfsoak/faults.go
@@ -211,7 +211,7 @@
 	h.withStoreFault(func() { h.checkError("drop history", h.fleet.DropHistory()) })
 }
 
-// storeRestored is the name of the fault in which the store comes back from an older copy.
+// storeRestored is the name of the fault that restores the store from an older copy.
 const storeRestored = "store restored"
 
 // restoreStore takes the store away and brings it back from a copy that is as old as length. The
--- a/bftrial/internal/bfsoak/soak_test.go
+++ b/bftrial/internal/bfsoak/soak_test.go
@@ -49,7 +49,7 @@
 }
 
 // Guards against a good version that is not completed in time, or loses requests, where the store
-// comes back from a copy that lacks the order.
+// is restored from a copy that lacks the order.
 func TestGoodVersionIsRolledOut(t *testing.T) {
 	soak(t, Options{Binaries: build(t), Seed: 1, Nodes: 5, Callers: 24, Faults: 12 * time.Second, Only: goodRollout})
 }
--- a/lib/bfera/model_test.go
+++ b/lib/bfera/model_test.go
@@ -58,9 +58,9 @@
 	// own is the node's own row as it knows it, and ownEra the era of that.
 	own    modelRow
 	ownEra uint8
-	// accepts is set while the node passes requests to its target, heard once the target has spoken
-	// since the node's start.
-	accepts, heard bool
+	// accepts is set while the node passes requests to its target, reported once the target has sent
+	// a report since the node's start.
+	accepts, reported bool
 }
 
 type modelWorld struct {
@@ -161,7 +161,7 @@
 		m.setView(w, i, s.era, view)
 		m.adopt(n, s.version)
 		n.own, n.ownEra = s.rows[i], s.era
-		if restarted && !n.heard && s.rows[i].present && (s.era == 1 || !m.has(ignoresOldRow)) {
+		if restarted && !n.reported && s.rows[i].present && (s.era == 1 || !m.has(ignoresOldRow)) {
 			n.accepts = true
 		}
 	} else {
@@ -206,8 +206,8 @@
 	return true
 }
 
-// tell is one message from node j to node i.
-func (m *model) tell(w *modelWorld, i, j int) bool {
+// send is one message from node j to node i.
+func (m *model) send(w *modelWorld, i, j int) bool {
 	n, from := &w.nodes[i], &w.nodes[j]
 	if from.era == 0 || !m.newer(from.era, from.number, n.era, n.number) {
 		return false
@@ -235,8 +235,8 @@
 
 // settle lets everybody act until nothing changes, and checks what must hold then.
 func (m *model) settle(w modelWorld) {
-	// The target speaks at last.
-	w.nodes[leaver].accepts, w.nodes[leaver].heard = !w.left, true
+	// The target reports at last.
+	w.nodes[leaver].accepts, w.nodes[leaver].reported = !w.left, true
 	for range 8 {
 		w.store.operatorWrites(w.written)
 		for i := range w.nodes {
@@ -290,8 +290,8 @@
 		}
 		for j := range w.nodes {
 			next = w
-			if i != j && m.tell(&next, i, j) {
-				m.search(next, fmt.Sprint("node ", j, " tells ", i))
+			if i != j && m.send(&next, i, j) {
+				m.search(next, fmt.Sprint("node ", j, " sends to ", i))
 			}
 		}
 	}
@@ -326,13 +326,13 @@
 	}
 	if next := w; !w.left {
 		next.left = true
-		next.nodes[leaver].accepts, next.nodes[leaver].heard = false, true
+		next.nodes[leaver].accepts, next.nodes[leaver].reported = false, true
 		m.search(next, "the target leaves")
 	}
 	for _, i := range []int{0, leaver} {
 		if next := w; w.restarts < 1 {
 			next.restarts++
-			// A target that works goes on to speak.
+			// A target that works goes on to report.
 			next.nodes[i] = modelNode{accepts: i != leaver || !w.left}
 			m.search(next, fmt.Sprint("node ", i, " restarts"))
 		}
--- a/lib/bfrollout/schedule.go
+++ b/lib/bfrollout/schedule.go
@@ -14,7 +14,7 @@
 	earlyPart = 0.25
 	// writePart is the part of the duration that is kept for writing the end of the roll-out,
 	// limited by maxWriteTime; movePart is the part in which the traffic is moved before that, and
-	// clearPart the part before the move in which all nodes learn that it begins.
+	// clearPart the part before the move in which the decision reaches all nodes.
 	writePart, movePart, clearPart = 0.08, 0.03, 0.03
 	maxWriteTime                   = 2 * time.Second
 	// rotations is how often during the duration other targets of the new version are tried.
