--- a/lib/bfemulator/request.go
+++ b/lib/bfemulator/request.go
@@ -31,12 +31,10 @@
 	// firstAttempt is when the caller's first attempt began, attempt when this one did.
 	firstAttempt, attempt, deadline time.Time
 	retries                         int
-	// parent is the run that makes the nested call, nil for a caller's request; fromFull is set while
-	// its target has no free slot.
-	parent   *run
-	fromFull bool
-	tried    []*bffleet.Target
-	sends    int
+	// parent is the run that makes the nested call, nil for a caller's request.
+	parent *run
+	tried  []*bffleet.Target
+	sends  int
 	// repeatGranted is set while a granted repeat has reached no target, foundFull once a
 	// target had no free slot, shed once a target shed this nested call, failed once a run of
 	// it failed.
@@ -69,7 +67,6 @@
 	left := c.Objective.Std() - w.agenda.Now().Sub(r.firstAttempt)
 	demand := bffleet.Demand{
 		Service: c.Service, Bytes: 1500, UsualTime: entry.meanLatency[r.class], RunTime: c.Running.Std(), Objective: c.Objective.Std(), Left: left,
-		Nested: r.parent != nil,
 	}
 	if r.foundFull && r.parent == nil {
 		switch bfwalk.NextScope(entry.sameDomain.Of(c.Service), entry.crossDomain.Of(c.Service), demand.HopCost(), w.random.Float64()).(type) {
@@ -81,7 +78,7 @@
 	}
 	choice := entry.fleet.Pick(demand, w.agenda.Now(), r.tried)
 	target := choice.Target()
-	searchExpired := w.agenda.Now().Sub(r.attempt) > bfwalk.MaxSearch(c.Objective.Std(), entry.sameDomain.Best(c.Service, &entry.crossDomain))
+	searchExpired := w.agenda.Now().Sub(r.attempt) > bfwalk.MaxSearch(c.Objective.Std(), entry.sameDomain.Of(c.Service))
 	if target == nil || r.foundFull && r.parent == nil && searchExpired || !w.agenda.Now().Before(r.deadline) {
 		w.refuse(r)
 		return
@@ -93,11 +90,7 @@
 		delay = crossDomainDelay
 		w.report.CrossDomainAttempts++
 	}
-	if r.parent != nil {
-		used, slots := entry.queue.Load()
-		r.fromFull = used >= slots
-	}
-	slot := bfslot.Request{Class: c.Name, Nested: r.parent != nil, FromFull: r.fromFull, Rank: c.Rank, Late: r.parent == nil && left < entry.meanLatency[r.class]}
+	slot := bfslot.Request{Class: c.Name, Nested: r.parent != nil, Rank: c.Rank, Late: r.parent == nil && left < entry.meanLatency[r.class]}
 	switch {
 	case r.parent != nil:
 		slot.MaxWait = time.Duration(nestedPatienceRatio * float64(c.Objective))
@@ -148,14 +141,14 @@
 	c := w.load.Classes[r.class]
 	isolated, admitted := w.admit(r, n)
 	if !admitted {
-		w.releaseSlot(n, r, 0)
+		w.releaseSlot(n, c.Name, 0)
 		w.agenda.After(delay, func() { w.onFull(r, target) })
 		return
 	}
 	budgeted, granted := n.account.Begin(c.Name, r.origin())
 	if !granted {
 		n.isolating = n.isolating && !isolated
-		w.releaseSlot(n, r, 0)
+		w.releaseSlot(n, c.Name, 0)
 		w.agenda.After(delay, func() { w.onEnd(r, target, false) })
 		return
 	}
@@ -166,7 +159,7 @@
 	if w.random.Float64() < w.faultFactor(faultShed, n) {
 		budgeted.End()
 		n.isolating = n.isolating && !isolated
-		w.releaseSlot(n, r, 0)
+		w.releaseSlot(n, c.Name, 0)
 		w.agenda.After(delay, func() { w.onShed(r, target) })
 		return
 	}
@@ -230,14 +223,13 @@
 	delete(u.node.running, u.number)
 	u.End()
 	w.recordFinished(u, !failed)
-	w.releaseSlot(u.node, u.request, w.agenda.Now().Sub(u.started))
+	w.releaseSlot(u.node, w.load.Classes[u.request.class].Name, w.agenda.Now().Sub(u.started))
 	w.agenda.After(u.delay, func() { w.onEnd(u.request, u.target, !failed) })
 }
 
-// releaseSlot frees the slot of a request and starts the requests that are granted it.
-func (w *world) releaseSlot(n *node, r *request, held time.Duration) {
-	released := bfslot.Request{Class: w.load.Classes[r.class].Name, FromFull: r.fromFull}
-	for _, ticket := range n.queue.Release(released, held) {
+// releaseSlot frees a slot and starts the requests that are granted it.
+func (w *world) releaseSlot(n *node, class string, held time.Duration) {
+	for _, ticket := range n.queue.Release(class, held) {
 		start := n.onGrant[ticket]
 		delete(n.onGrant, ticket)
 		start()
--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -228,7 +228,6 @@
 	demand := bffleet.Demand{
 		Service: c.service, Bytes: int(c.handler.sizes.get(name)), UsualTime: c.usualDuration(),
 		RunTime: time.Duration(c.handler.runTimes.get(name)), Left: c.timeLeft(), Objective: c.route.Objective(),
-		Nested: c.parent != nil,
 	}
 	switch c.nextScope(refusal, demand.HopCost()).(type) {
 	case bfwalk.OwnDomain:
--- a/lib/bfentry/policy.go
+++ b/lib/bfentry/policy.go
@@ -12,7 +12,7 @@
 func (c *call) policy() bfhost.Policy {
 	chosen, trial := c.choseVersion()
 	return bfhost.Policy{
-		ChosenVersion: chosen, Trial: trial, FromFull: c.fromFull(),
+		ChosenVersion: chosen, Trial: trial,
 		Class: c.route.Name(), Service: c.service, Rank: c.route.Rank(), Nested: c.parent != nil,
 		Repeat: c.sent > 0, Inherited: c.parent != nil && c.parent.IsRepeat(),
 		Repeatable: c.route.Kind().Repeatable(), Late: c.late(), MaxSlotWait: c.maxSlotWait(),
@@ -20,15 +20,6 @@
 	}
 }
 
-// fromFull reports whether this is a nested call, and this node's target has no free slot.
-func (c *call) fromFull() bool {
-	if c.parent == nil {
-		return false
-	}
-	used, slots := c.handler.config.Host.Load()
-	return used >= slots
-}
-
 // linkWaitShare is the share of its objective that a download may wait for the link of
 // the target's node while there are other targets to try.
 const linkWaitShare = 0.4
--- a/lib/bfentry/refusal.go
+++ b/lib/bfentry/refusal.go
@@ -15,7 +15,7 @@
 	if c.parent != nil || c.isLastTarget || refusal.Reason != bfhost.Full {
 		return false
 	}
-	return now.Sub(c.arrived) > bfwalk.MaxSearch(c.route.Objective(), c.handler.localAcceptRates.Best(c.service, &c.handler.remoteAcceptRates))
+	return now.Sub(c.arrived) > bfwalk.MaxSearch(c.route.Objective(), c.handler.localAcceptRates.Of(c.service))
 }
 
 // nextScope decides in which failure domains the next target is chosen, given the latest refusal
--- a/lib/bffleet/cost.go
+++ b/lib/bffleet/cost.go
@@ -18,8 +18,6 @@
 	// Objective is the time in which the request should be answered, Left the part of it
 	// that remains.
 	Objective, Left time.Duration
-	// Nested is set for a call that a target makes while it runs another request.
-	Nested bool
 	// SameDomain restricts the choice to targets in the node's own failure domain.
 	SameDomain bool
 	// OtherDomains restricts the choice to targets in other failure domains.
@@ -35,10 +33,6 @@
 	// waitWeight is the weight of waiting for a slot relative to running, since each
 	// waiting request also delays those behind it.
 	waitWeight = 2
-	// nestedTimeGain is the gain of a nested call that is answered sooner than on average, by the
-	// time saved over its objective: the run that makes it holds a slot of its own target
-	// meanwhile. Only targets of the node's own domain have it, so that no call leaves for it.
-	nestedTimeGain = 1.0
 	// failingCost is the cost of a target that fails every request.
 	failingCost = 1.0
 	// loadCost is the cost of a target whose slots are all in use. It is proportional
@@ -74,9 +68,6 @@
 	wait := time.Duration(max(load-1, 0) * float64(run))
 	cost = lateCost*demand.lateness(wait*waitWeight, run) + failingCost*t.failureRate(now)
 	cost += loadCost*min(load, 1) + jitter*random
-	if demand.Nested && t.member.Domain == place.Domain {
-		cost -= nestedTimeGain * float64(max(demand.expectedRunTime()-wait-run, 0)) / float64(max(demand.Objective, 1))
-	}
 	return cost + t.networkCost(place, demand, now), load > 1
 }
 
--- a/lib/bfheader/header.go
+++ b/lib/bfheader/header.go
@@ -41,8 +41,6 @@
 	Backlog = "Bilberry-Backlog"
 	// Track is the target's recent share of failures and run time.
 	Track = "Bilberry-Track"
-	// FromFull marks a nested call whose run holds a slot of a target without free ones.
-	FromFull = "Bilberry-From-Full"
 	// Version is set if the entry chose the target for the version of its software.
 	Version = "Bilberry-Version"
 	// Spent is a breakdown of the time spent at the target's node, in microseconds.
--- a/lib/bfhost/hop.go
+++ b/lib/bfhost/hop.go
@@ -18,9 +18,6 @@
 	h[policyHeader] = []string{fmt.Sprintf("%s %d %s %s %s %s %s %d %d %s", p.Service, p.Rank, flag(p.Nested, flagNested),
 		flag(p.Repeatable, flagRepeatable), flag(p.Repeat, flagRepeat), flag(p.Inherited, flagInherited), flag(p.Late, flagLate),
 		p.MaxSlotWait.Milliseconds(), p.MaxLinkWait.Milliseconds(), p.Class)}
-	if p.FromFull {
-		h[bfheader.FromFull] = []string{flagFromFull}
-	}
 	switch {
 	case p.Trial:
 		h[bfheader.Version] = []string{versionTrial}
@@ -29,9 +26,6 @@
 	}
 }
 
-// flagFromFull is the value of its header if it is set.
-const flagFromFull = "1"
-
 // Values of the version header between nodes, which is missing if the entry did not choose the
 // version.
 const (
@@ -85,7 +79,7 @@
 	}
 	version := h.Get(bfheader.Version)
 	return Policy{
-		FromFull: h.Get(bfheader.FromFull) == flagFromFull, ChosenVersion: version != "", Trial: version == versionTrial,
+		ChosenVersion: version != "", Trial: version == versionTrial,
 		Service: fields[0], Rank: rank, Nested: fields[2] == flagNested, Repeatable: fields[3] == flagRepeatable,
 		Repeat: fields[4] == flagRepeat, Inherited: fields[5] == flagInherited, Late: fields[6] == flagLate,
 		MaxSlotWait: time.Duration(slotWait) * time.Millisecond, MaxLinkWait: time.Duration(linkWait) * time.Millisecond,
--- a/lib/bfhost/host.go
+++ b/lib/bfhost/host.go
@@ -170,7 +170,7 @@
 	}
 	arrived := h.config.Timer.Now()
 	slot, err := h.gate.Acquire(ctx, bfslot.Request{
-		Class: job.Policy.Class, Nested: job.Policy.Nested, FromFull: job.Policy.FromFull, Late: job.Policy.Late, Rank: job.Policy.Rank, MaxWait: job.Policy.MaxSlotWait,
+		Class: job.Policy.Class, Nested: job.Policy.Nested, Late: job.Policy.Late, Rank: job.Policy.Rank, MaxWait: job.Policy.MaxSlotWait,
 	})
 	var full *bfslot.FullError
 	switch {
--- a/lib/bfhost/job.go
+++ b/lib/bfhost/job.go
@@ -28,8 +28,6 @@
 	Rank int
 	// Nested is set if a target made the request while running another one.
 	Nested bool
-	// FromFull is set for a nested call whose run holds a slot of a target without free ones.
-	FromFull bool
 	// Repeat is set if the request is a retry.
 	Repeat bool
 	// Inherited is set if the request is nested in a run that is a retry.
--- a/lib/bfreplay/replay.go
+++ b/lib/bfreplay/replay.go
@@ -177,7 +177,7 @@
 	t := w.targets[selected.Member().Inbound]
 	length := time.Duration(float64(c.serviceTime) * t.speed)
 	w.agenda.After(length, func() {
-		for _, ticket := range t.queue.Release(bfslot.Request{Class: service}, length) {
+		for _, ticket := range t.queue.Release(service, length) {
 			t.onGrant[ticket]()
 			delete(t.onGrant, ticket)
 		}
--- a/lib/bfslot/gate.go
+++ b/lib/bfslot/gate.go
@@ -49,10 +49,10 @@
 
 // Slot is a slot held by one request until Release.
 type Slot struct {
-	gate    *Gate
-	request Request
-	since   time.Time
-	once    sync.Once
+	gate  *Gate
+	class string
+	since time.Time
+	once  sync.Once
 }
 
 // Acquire returns a slot, waiting for it for at most request.MaxWait. It returns a
@@ -83,7 +83,7 @@
 }
 
 func (g *Gate) slot(request Request) *Slot {
-	return &Slot{gate: g, request: request, since: g.timer.Now()}
+	return &Slot{gate: g, class: request.Class, since: g.timer.Now()}
 }
 
 // enter takes a free slot and returns a nil ticket, or queues the request and returns
@@ -135,6 +135,6 @@
 		held := g.timer.Now().Sub(s.since)
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.admit(g.queue.Release(s.request, held))
+		g.admit(g.queue.Release(s.class, held))
 	})
 }
--- a/lib/bfslot/gate_test.go
+++ b/lib/bfslot/gate_test.go
@@ -154,7 +154,7 @@
 	for range 100 {
 		_, err := q.Enter(Request{Class: "look"})
 		is.NoErr(err)
-		q.Release(Request{Class: "look"}, held)
+		q.Release("look", held)
 	}
 	for range slots {
 		_, err := q.Enter(Request{Class: "look"})
--- a/lib/bfslot/queue.go
+++ b/lib/bfslot/queue.go
@@ -14,8 +14,6 @@
 	Class string
 	// Nested is set for a request that a target makes while it runs another one.
 	Nested bool
-	// FromFull is set for a nested call whose run holds a slot of a target without free ones.
-	FromFull bool
 	// Rank is the priority of a waiting request; 0 goes first.
 	Rank int
 	// Late is set for a request that is expected to miss its latency objective.
@@ -43,9 +41,6 @@
 	// slot: those of each class, and all of them.
 	meanHoldByClass map[string]time.Duration
 	meanHold        time.Duration
-	// fromFull and total are decaying sums of the time for which nested calls of full targets and all
-	// requests held slots, in nanoseconds.
-	fromFull, total float64
 }
 
 // Ticket represents a waiting request.
@@ -99,32 +94,10 @@
 
 // reserve returns the number of slots that the request must leave free.
 func (q *Queue) reserve(request Request) int {
-	switch {
-	case request.Nested:
+	if !request.Late {
 		return 0
-	case request.Late:
-		return max(int(math.Ceil(lateReserve*float64(q.slots))), q.nestedReserve())
 	}
-	return q.nestedReserve()
-}
-
-const (
-	// maxNestedReserve bounds the share of the slots that is kept for nested calls.
-	maxNestedReserve = 0.25
-	// minNestedShare is the share of the slots' time from which some are kept for nested calls.
-	minNestedShare = 0.02
-	// holdWindow is the number of requests over which the share is taken.
-	holdWindow = 200
-)
-
-// nestedReserve returns the number of slots that other requests leave to nested calls of full
-// targets: as many as these use on average. While such a call waits here, it holds a slot that
-// another request waits for there.
-func (q *Queue) nestedReserve() int {
-	if q.total == 0 || q.fromFull/q.total < minNestedShare {
-		return 0
-	}
-	return int(min(math.Ceil(q.fromFull/q.total*float64(q.slots)), max(maxNestedReserve*float64(q.slots), 1)))
+	return int(math.Ceil(lateReserve * float64(q.slots)))
 }
 
 // compareTickets orders waiting requests: nested calls first, then by rank. Within a
@@ -188,16 +161,11 @@
 	return q.admit()
 }
 
-// Release frees the slot of a request that held it for the time given, and returns the waiting requests that got a slot.
-func (q *Queue) Release(request Request, held time.Duration) []*Ticket {
-	class := request.Class
+// Release frees the slot of a request of a class that held it for the time given, and
+// returns the waiting requests that got a slot.
+func (q *Queue) Release(class string, held time.Duration) []*Ticket {
 	q.meanHoldByClass[class] = updateMean(q.meanHoldByClass[class], held, classWindow)
 	q.meanHold = updateMean(q.meanHold, held, overallWindow)
-	q.total += float64(held) - q.total/holdWindow
-	q.fromFull -= q.fromFull / holdWindow
-	if request.FromFull {
-		q.fromFull += float64(held)
-	}
 	q.used--
 	return q.admit()
 }
@@ -210,13 +178,11 @@
 	return mean + (sample-mean)/window
 }
 
-// admit gives the free slots to the first waiting requests and returns these. Nested calls wait
-// ahead of all others.
-func (q *Queue) admit() (admitted []*Ticket) {
-	for len(q.waiting) > 0 && q.used < q.slots-q.reserve(q.waiting[0].request) {
-		admitted = append(admitted, q.waiting[0])
-		q.waiting = slices.Delete(q.waiting, 0, 1)
-		q.used++
-	}
+// admit gives the free slots to the first waiting requests and returns these.
+func (q *Queue) admit() []*Ticket {
+	free := min(max(q.slots-q.used, 0), len(q.waiting))
+	admitted := slices.Clone(q.waiting[:free])
+	q.waiting = slices.Delete(q.waiting, 0, free)
+	q.used += free
 	return admitted
 }
--- a/lib/bfwalk/acceptrates.go
+++ b/lib/bfwalk/acceptrates.go
@@ -25,15 +25,6 @@
 	return 1
 }
 
-// Best returns the higher of this rate and another one that was observed.
-func (r *AcceptRates) Best(service string, other *AcceptRates) float64 {
-	rate := r.Of(service)
-	if _, observed := other.byService.Load(service); observed {
-		return max(rate, other.Of(service))
-	}
-	return rate
-}
-
 func (r *AcceptRates) share(service string) *bfshare.Share {
 	held, found := r.byService.Load(service)
 	if !found {
--- a/lib/bfwalk/walk.go
+++ b/lib/bfwalk/walk.go
@@ -46,6 +46,10 @@
 func (OwnDomain) scope()    {}
 func (OtherDomains) scope() {}
 
+// minLeaveRate is the acceptance rate of other domains from which a request leaves its own for them.
+// Below it they have hardly more room, and the requests would take the slots of their callers.
+const minLeaveRate = 0.6
+
 // NextScope decides where a refused request goes next. own and others are the acceptance rates of
 // the node's own domain and of the others, and cost is that of the request's way to another
 // domain, in units of the value of an answer. random is from 0 to 1.
@@ -55,7 +59,7 @@
 // them while others have free slots; if all left it at once, they would fill these.
 func NextScope(own, others, cost, random float64) Scope {
 	switch {
-	case random < others-own-cost:
+	case others >= minLeaveRate && random < others-own-cost:
 		return OtherDomains{}
 	case TriesOtherDomain(others, random):
 		return AnyDomain{}
--- a/lib/bfwalk/walk_test.go
+++ b/lib/bfwalk/walk_test.go
@@ -66,6 +66,7 @@
 		{"others accept clearly more, but not all leave", 0.1, 0.9, 0.6, AnyDomain{}},
 		{"others accept little more", 0.5, 0.7, 0.0, AnyDomain{}},
 		{"all are full", 0.1, 0.2, 0.5, OwnDomain{}},
+		{"others accept more, but are nearly full", 0.05, 0.5, 0.1, AnyDomain{}},
 		{"all are full, a trial", 0.0, 0.0, 0.05, AnyDomain{}},
 		{"only others are full", 0.9, 0.1, 0.5, OwnDomain{}},
 	} {
