--- a/lib/bfemulator/load.go
+++ b/lib/bfemulator/load.go
@@ -10,15 +10,13 @@
 
 // Load describes a simulation: services, request classes and faults. It is read from a JSON file.
 type Load struct {
-	Seed    uint64              `json:"seed" jsonschema:"description=Seed of all that is drawn."`
-	Length  bfsettings.Duration `json:"length" jsonschema:"description=How long callers come."`
-	Domains int                 `json:"domains" jsonschema:"minimum=1,maximum=30,description=Failure domains; each has the targets below."`
-	// Weights are the domains' shares of the callers, by domain; empty for equal ones.
-	Weights  []float64 `json:"weights,omitempty" jsonschema:"description=Callers of each domain in relation to the others; empty for as many in each."`
-	Repeats  Repeats   `json:"repeats" jsonschema:"description=Bound of the repeats that all nodes together send to a service."`
-	Services []Service `json:"services" jsonschema:"minItems=1"`
-	Classes  []Class   `json:"classes" jsonschema:"minItems=1"`
-	Faults   []Fault   `json:"faults,omitempty"`
+	Seed     uint64              `json:"seed" jsonschema:"description=Seed of all that is drawn."`
+	Length   bfsettings.Duration `json:"length" jsonschema:"description=How long callers come."`
+	Domains  int                 `json:"domains" jsonschema:"minimum=1,maximum=30,description=Failure domains; each has the targets below."`
+	Repeats  Repeats             `json:"repeats" jsonschema:"description=Bound of the repeats that all nodes together send to a service."`
+	Services []Service           `json:"services" jsonschema:"minItems=1"`
+	Classes  []Class             `json:"classes" jsonschema:"minItems=1"`
+	Faults   []Fault             `json:"faults,omitempty"`
 	// Restart is how long a target that a request crashed is down.
 	Restart bfsettings.Duration `json:"restart,omitempty" jsonschema:"description=How long a target is away that a request has ended."`
 }
@@ -101,9 +99,6 @@
 
 // check validates references between services and classes; the schema validates the rest.
 func (l Load) check() error {
-	if len(l.Weights) > 0 && len(l.Weights) != l.Domains {
-		return &FieldError{"weights", fmt.Sprint(l.Weights), "a weight of each domain"}
-	}
 	for i, c := range l.Classes {
 		if l.serviceIndex(c.Service) < 0 {
 			return &FieldError{fmt.Sprintf("classes.%d.service", i), c.Service, "the services"}
--- a/lib/bfemulator/request.go
+++ b/lib/bfemulator/request.go
@@ -67,14 +67,7 @@
 	left := c.Objective.Std() - w.agenda.Now().Sub(r.firstAttempt)
 	demand := bffleet.Demand{
 		Service: c.Service, Bytes: 1500, UsualTime: entry.meanLatency[r.class], RunTime: c.Running.Std(), Objective: c.Objective.Std(), Left: left,
-	}
-	if r.foundFull && r.parent == nil {
-		switch bfwalk.NextScope(entry.sameDomain.Of(c.Service), entry.crossDomain.Of(c.Service), demand.HopCost(), w.random.Float64()).(type) {
-		case bfwalk.OwnDomain:
-			demand.SameDomain = true
-		case bfwalk.OtherDomains:
-			demand.OtherDomains = true
-		}
+		SameDomain: r.foundFull && r.parent == nil && !bfwalk.TriesOtherDomain(entry.crossDomain.Of(c.Service), w.random.Float64()),
 	}
 	choice := entry.fleet.Pick(demand, w.agenda.Now(), r.tried)
 	target := choice.Target()
--- a/lib/bfemulator/world.go
+++ b/lib/bfemulator/world.go
@@ -173,28 +173,10 @@
 		}
 		w.scheduleArrival(class)
 		w.report.classes[class].Callers++
-		w.tryNextTarget(w.newCallerRequest(class, w.randomEntry()))
+		w.tryNextTarget(w.newCallerRequest(class, w.nodes[w.random.IntN(len(w.nodes))]))
 	})
 }
 
-// randomEntry returns a node of a random domain, by the domains' weights.
-func (w *world) randomEntry() *node {
-	if len(w.load.Weights) == 0 {
-		return w.nodes[w.random.IntN(len(w.nodes))]
-	}
-	total := 0.0
-	for _, weight := range w.load.Weights {
-		total += weight
-	}
-	draw, domain := w.random.Float64()*total, 0
-	for domain < len(w.load.Weights)-1 && draw >= w.load.Weights[domain] {
-		draw -= w.load.Weights[domain]
-		domain++
-	}
-	perDomain := len(w.nodes) / w.load.Domains
-	return w.nodes[domain*perDomain+w.random.IntN(perDomain)]
-}
-
 // newCallerRequest creates a caller's request at an entry node and counts it in the retry budget.
 func (w *world) newCallerRequest(class int, entry *node) *request {
 	entry.account.Sent(w.load.Classes[class].Service)
--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -225,17 +225,11 @@
 // demand describes what a target is chosen for, given the latest refusal.
 func (c *call) demand(refusal bfhost.Refused) bffleet.Demand {
 	name := c.route.Name()
-	demand := bffleet.Demand{
+	return bffleet.Demand{
 		Service: c.service, Bytes: int(c.handler.sizes.get(name)), UsualTime: c.usualDuration(),
 		RunTime: time.Duration(c.handler.runTimes.get(name)), Left: c.timeLeft(), Objective: c.route.Objective(),
+		SameDomain: c.staysInDomain(refusal),
 	}
-	switch c.nextScope(refusal, demand.HopCost()).(type) {
-	case bfwalk.OwnDomain:
-		demand.SameDomain = true
-	case bfwalk.OtherDomains:
-		demand.OtherDomains = true
-	}
-	return demand
 }
 
 // served reports whether the result is a target's success.
--- a/lib/bfentry/refusal.go
+++ b/lib/bfentry/refusal.go
@@ -18,13 +18,14 @@
 	return now.Sub(c.arrived) > bfwalk.MaxSearch(c.route.Objective(), c.handler.localAcceptRates.Of(c.service))
 }
 
-// nextScope decides in which failure domains the next target is chosen, given the latest refusal
-// and the cost of the way to another domain.
-func (c *call) nextScope(refusal bfhost.Refused, cost float64) bfwalk.Scope {
+// staysInDomain reports whether a refused request is sent only to targets of its own
+// failure domain. Untried targets there are preferred, even if a target of another domain
+// has a lower cost, since they cost no traffic between domains.
+func (c *call) staysInDomain(refusal bfhost.Refused) bool {
 	if c.parent != nil || refusal.Reason != bfhost.Full {
-		return bfwalk.AnyDomain{}
+		return false
 	}
-	return bfwalk.NextScope(c.handler.localAcceptRates.Of(c.service), c.handler.remoteAcceptRates.Of(c.service), cost, rand.Float64())
+	return !bfwalk.TriesOtherDomain(c.handler.remoteAcceptRates.Of(c.service), rand.Float64())
 }
 
 // preferFull returns the refusal that is reported to the caller: a refusal by a full target
--- a/lib/bfentry/version.go
+++ b/lib/bfentry/version.go
@@ -46,7 +46,6 @@
 		demand.Versions = bffleet.OnlyVersion{Version: selected.Version, Window: selected.Tried}
 		// The few targets that are tried may all be in other failure domains.
 		demand.SameDomain = demand.SameDomain && selected.Tried == nil
-		demand.OtherDomains = demand.OtherDomains && selected.Tried == nil
 	case bfrollout.Old:
 		demand.Versions = bffleet.ExceptVersion{Version: selected.Version}
 	}
--- a/lib/bffleet/cost.go
+++ b/lib/bffleet/cost.go
@@ -20,8 +20,6 @@
 	Objective, Left time.Duration
 	// SameDomain restricts the choice to targets in the node's own failure domain.
 	SameDomain bool
-	// OtherDomains restricts the choice to targets in other failure domains.
-	OtherDomains bool
 	// Versions restricts the choice to targets of some versions; nil for all.
 	Versions VersionFilter
 }
@@ -71,9 +69,6 @@
 	return cost + t.networkCost(place, demand, now), load > 1
 }
 
-// HopCost returns the cost of sending the request to another failure domain.
-func (d Demand) HopCost() float64 { return hopCost + float64(d.Bytes)/bytesPerUnitCost }
-
 // networkCost returns the cost of the transfer to the target and back.
 func (t *Target) networkCost(place Place, demand Demand, now time.Time) float64 {
 	if t.member.Inbound == place.Inbound {
--- a/lib/bffleet/fleet.go
+++ b/lib/bffleet/fleet.go
@@ -156,14 +156,9 @@
 //
 // If the first attempt has no other candidate, suspended targets count as well. An entry
 // with a single target of a service would otherwise refuse requests without an attempt
-// for as long as the suspension lasts. Likewise, a demand for other failure domains falls back to
-// the node's own if no target is left there.
+// for as long as the suspension lasts.
 func (f *Fleet) Pick(demand Demand, now time.Time, tried []*Target) Choice {
 	choice := f.pick(demand, now, tried, false)
-	if choice.target == nil && demand.OtherDomains {
-		demand.OtherDomains = false
-		choice = f.pick(demand, now, tried, false)
-	}
 	if choice.target == nil && len(tried) == 0 {
 		choice = f.pick(demand, now, tried, true)
 	}
@@ -181,7 +176,7 @@
 		if t.probing.Load() || slices.Contains(tried, t) {
 			continue
 		}
-		if !withSuspended && t.isSuspended(now) || demand.SameDomain && f.IsInOtherDomain(t) || demand.OtherDomains && !f.IsInOtherDomain(t) {
+		if !withSuspended && t.isSuspended(now) || demand.SameDomain && f.IsInOtherDomain(t) {
 			continue
 		}
 		if !f.IsInOtherDomain(t) {
--- a/lib/bfwalk/acceptrates.go
+++ b/lib/bfwalk/acceptrates.go
@@ -18,12 +18,7 @@
 func (r *AcceptRates) Note(service string, accepted bool) { r.share(service).Note(accepted) }
 
 // Of returns the acceptance rate of the service, from 0 to 1; it is 1 before the first send.
-func (r *AcceptRates) Of(service string) float64 {
-	if held, found := r.byService.Load(service); found {
-		return held.(*bfshare.Share).Value()
-	}
-	return 1
-}
+func (r *AcceptRates) Of(service string) float64 { return r.share(service).Value() }
 
 func (r *AcceptRates) share(service string) *bfshare.Share {
 	held, found := r.byService.Load(service)
--- a/lib/bfwalk/walk.go
+++ b/lib/bfwalk/walk.go
@@ -29,44 +29,6 @@
 	return random <= max(acceptRate, minRemoteShare)
 }
 
-// Scope says in which failure domains the next target of a refused request is chosen. It is one of
-// AnyDomain, OwnDomain and OtherDomains.
-type Scope interface{ scope() }
-
-// AnyDomain allows the targets of all domains.
-type AnyDomain struct{}
-
-// OwnDomain allows the targets of the node's own domain only.
-type OwnDomain struct{}
-
-// OtherDomains allows the targets of all other domains only.
-type OtherDomains struct{}
-
-func (AnyDomain) scope()    {}
-func (OwnDomain) scope()    {}
-func (OtherDomains) scope() {}
-
-// minLeaveRate is the acceptance rate of other domains from which a request leaves its own for them.
-// Below it they have hardly more room, and the requests would take the slots of their callers.
-const minLeaveRate = 0.6
-
-// NextScope decides where a refused request goes next. own and others are the acceptance rates of
-// the node's own domain and of the others, and cost is that of the request's way to another
-// domain, in units of the value of an answer. random is from 0 to 1.
-//
-// The probability that the request leaves its domain is how much more its chance to be accepted
-// rises than the way costs. A domain with too few targets for its callers would otherwise refuse
-// them while others have free slots; if all left it at once, they would fill these.
-func NextScope(own, others, cost, random float64) Scope {
-	switch {
-	case others >= minLeaveRate && random < others-own-cost:
-		return OtherDomains{}
-	case TriesOtherDomain(others, random):
-		return AnyDomain{}
-	}
-	return OwnDomain{}
-}
-
 // maxWaitShare is the part of its slack for which a request queues at its target. The
 // rest covers run times above the mean.
 const maxWaitShare = 0.5
--- a/lib/bfwalk/walk_test.go
+++ b/lib/bfwalk/walk_test.go
@@ -52,27 +52,3 @@
 	is.Equal(MaxWait(500*time.Millisecond, 200*time.Millisecond), 150*time.Millisecond)
 	is.Equal(MaxWait(100*time.Millisecond, 200*time.Millisecond), time.Duration(0))
 }
-
-// Guards against requests that stay in a full domain beside free ones, and against all of them leaving
-// at once, or for a domain that accepts hardly more.
-func TestNextScope(t *testing.T) {
-	const cost = 0.3
-	for _, test := range []struct {
-		name                string
-		own, others, random float64
-		want                Scope
-	}{
-		{"others accept clearly more", 0.1, 0.9, 0.4, OtherDomains{}},
-		{"others accept clearly more, but not all leave", 0.1, 0.9, 0.6, AnyDomain{}},
-		{"others accept little more", 0.5, 0.7, 0.0, AnyDomain{}},
-		{"all are full", 0.1, 0.2, 0.5, OwnDomain{}},
-		{"others accept more, but are nearly full", 0.05, 0.5, 0.1, AnyDomain{}},
-		{"all are full, a trial", 0.0, 0.0, 0.05, AnyDomain{}},
-		{"only others are full", 0.9, 0.1, 0.5, OwnDomain{}},
-	} {
-		t.Run(test.name, func(t *testing.T) {
-			is := is.New(t)
-			is.Equal(NextScope(test.own, test.others, cost, test.random), test.want)
-		})
-	}
-}
