--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"expvar"
 	"log/slog"
 	"maps"
 	"math/rand/v2"
@@ -38,6 +37,7 @@
 	"bilberryflow.org/lib/bfrollout"
 	"bilberryflow.org/lib/bfrumor"
 	"bilberryflow.org/lib/bfserver"
+	"bilberryflow.org/lib/bfstall"
 	"bilberryflow.org/lib/bfstore"
 	"bilberryflow.org/lib/bftimer"
 	"bilberryflow.org/lib/bftraffic"
@@ -337,7 +337,7 @@
 	servers := []transport.Server{callers, inbound}
 	if n.settings.Metrics != "" {
 		metrics := http.NewServeMux()
-		metrics.Handle("GET /debug/vars", expvar.Handler())
+		metrics.Handle("GET /debug/vars", bfmetric.Handler())
 		ports = append(ports, port{"metrics", n.settings.Metrics, metrics})
 	}
 	for _, port := range ports {
@@ -378,6 +378,7 @@
 	n.group.Go("backup", n.backup.Run)
 	n.group.Go("roll-outs", n.conductor.Run)
 	n.timer.Every(func() time.Duration { return sweepInterval }, n.sweep)
+	n.metrics.Gauge("process_stalls", bfstall.Watch(n.timer, n.logger).Stalls)
 	return n.group.Wait()
 }
 
--- a/lib/bflog/events.go
+++ b/lib/bflog/events.go
@@ -10,6 +10,7 @@
 	ProcessFailed   = declare(1004, slog.LevelError, "process failed", "Read the error; the process exits with code 1.")
 	SettingsRead    = declare(1005, slog.LevelInfo, "settings file reloaded", "Nothing; changes of ports and names need a restart.")
 	LinesDropped    = declare(1007, slog.LevelWarn, "log lines dropped", "Use the counters for totals; of_event is the event whose lines were dropped.")
+	ProcessStalled  = declare(1008, slog.LevelWarn, "process did not run on time", "Little processor time: it was suspended, or the clock was set. Much: it has more to do than its share of the processor allows.")
 	SettingsRefused = declare(1006, slog.LevelWarn, "settings file invalid, previous settings kept", "Correct the field that the error names and send SIGHUP again.")
 )
 
--- a/lib/bfmetric/metric.go
+++ b/lib/bfmetric/metric.go
@@ -3,6 +3,9 @@
 import (
 	"encoding/json"
 	"expvar"
+	"fmt"
+	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +33,25 @@
 // Publish exposes the registry under name at /debug/vars. It panics if name is already published.
 func (r *Registry) Publish(name string) { expvar.Publish(name, expvar.Func(r.snapshot)) }
 
+// Handler serves all published variables as JSON, those of the Go runtime last: they take several
+// kilobytes, and a reader that truncates the page would see nothing else.
+func Handler() http.Handler { return http.HandlerFunc(servePublished) }
+
+func servePublished(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	var own, runtime []string
+	expvar.Do(func(v expvar.KeyValue) {
+		line := fmt.Sprintf("%q: %s", v.Key, v.Value)
+		if v.Key == "memstats" || v.Key == "cmdline" {
+			runtime = append(runtime, line)
+		} else {
+			own = append(own, line)
+		}
+	})
+	// A client that is gone needs no page.
+	_, _ = fmt.Fprintf(w, "{\n%s\n}\n", strings.Join(append(own, runtime...), ",\n"))
+}
+
 // Counter is a monotonic counter.
 type Counter struct{ value atomic.Int64 }
 
--- a/lib/bfmetric/metric_test.go
+++ b/lib/bfmetric/metric_test.go
@@ -3,6 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -75,3 +78,20 @@
 	is.NoErr(json.Unmarshal(data, &page))
 	is.Equal(len(page), 7)
 }
+
+// Guards against a page whose first kilobytes are the Go runtime's statistics: a collector that
+// truncates it would store none of the program's own metrics.
+func TestOwnVariablesComeFirst(t *testing.T) {
+	is := is.New(t)
+	registry := New()
+	registry.Gauge("answer", func() int64 { return 42 })
+	registry.Publish("testprogram")
+	recorder := httptest.NewRecorder()
+	Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/debug/vars", nil))
+	page := recorder.Body.String()
+	var decoded map[string]json.RawMessage
+	is.NoErr(json.Unmarshal([]byte(page), &decoded))
+	is.True(len(decoded["memstats"]) > 0)
+	is.True(strings.Index(page, `"answer"`) < strings.Index(page, `"cmdline"`))
+	is.True(strings.Index(page, `"answer"`) < strings.Index(page, `"memstats"`))
+}
--- a/lib/bfoperator/handler.go
+++ b/lib/bfoperator/handler.go
@@ -5,12 +5,12 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/json"
-	"expvar"
 	"fmt"
 	"net/http"
 	"strings"
 	"time"
 
+	"bilberryflow.org/lib/bfmetric"
 	"bilberryflow.org/lib/bfquery"
 	"bilberryflow.org/lib/bfquery/bfresult"
 )
@@ -53,7 +53,7 @@
 		h.authors[sha256.Sum256([]byte(token.Secret))] = token.Name
 	}
 	h.mux.HandleFunc("POST "+CommandPath, h.commands)
-	h.mux.Handle("GET /debug/vars", expvar.Handler())
+	h.mux.Handle("GET /debug/vars", bfmetric.Handler())
 	return h
 }
 
