bfpeer: calls are served as they are read, without jsonrpc2's queue

Callers saw requests handled by a version 8 s and more after a newer one was acknowledged, at a node that had been suspended for 17 s.

Cause: the peers' calls to a suspended node time out and their connections end with the call unread. When the node runs again, jsonrpc2 queues each such call for a delivering goroutine; its queue selects on its closed input, which is always ready, and so spins until the delivery has its turn. One processor and hundreds of connections: each spins until it is preempted, 10 ms of processor time, and with a third of a core the next calls time out meanwhile and end as connections of the same kind. The node never gets out.

The handler is the connection's preempter now: calls start in goroutines of their own as before, and nothing is ever queued there.

--- a/lib/bfpeer/call.go
+++ b/lib/bfpeer/call.go
@@ -74,7 +74,7 @@
 // disconnects or sends malformed messages would otherwise leak a file descriptor.
 func (c *Calls) Bind(_ context.Context, conn *jsonrpc2.Connection) (jsonrpc2.ConnectionOptions, error) {
 	options := c.options()
-	options.Handler = &handler{calls: c, conn: conn}
+	options.Preempter = &handler{calls: c, conn: conn}
 	c.group.Go("watch connection", func(context.Context) error {
 		// The error is irrelevant here: Call reports it to the pending calls.
 		_ = conn.Wait()
@@ -86,13 +86,17 @@
 
 // handler serves the calls of one connection, each in its own goroutine: jsonrpc2 delivers
 // calls sequentially, so a call that blocks would delay all later ones.
+//
+// It is the connection's preempter and not its handler, so that jsonrpc2 queues no call. While a
+// call is queued on a connection that has ended, jsonrpc2's queue is a busy loop, and a node that
+// resumes after a pause with hundreds of such connections would do nothing else for seconds.
 type handler struct {
 	calls *Calls
 	conn  *jsonrpc2.Connection
 }
 
-// Handle starts serving one call.
-func (h *handler) Handle(ctx context.Context, request *jsonrpc2.Request) (any, error) {
+// Preempt starts serving one call.
+func (h *handler) Preempt(ctx context.Context, request *jsonrpc2.Request) (any, error) {
 	method, found := h.calls.methods[request.Method]
 	if !found {
 		return nil, jsonrpc2.ErrMethodNotFound
