--- /dev/null
+++ b/lib/bfnews/delayed_test.go
@@ -0,0 +1,135 @@
+package bfnews
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bilberryflow.org/lib/bffleet"
+	"bilberryflow.org/lib/bfgroup"
+	"bilberryflow.org/lib/bftimer"
+)
+
+// delayingProxy forwards connections to a node. While it is held it keeps what was sent to the
+// node, as the sockets of a suspended node do, and delivers it on release.
+type delayingProxy struct {
+	listener net.Listener
+	target   string
+	mu       sync.Mutex
+	released chan struct{}
+}
+
+func newDelayingProxy(t *testing.T, group *bfgroup.Group, target string) *delayingProxy {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	p := &delayingProxy{listener: listener, target: target, released: make(chan struct{})}
+	close(p.released)
+	t.Cleanup(func() { listener.Close() })
+	group.Go("accept", func(context.Context) error {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return nil
+			}
+			group.Go("forward", func(context.Context) error { p.forward(group, conn); return nil })
+		}
+	})
+	return p
+}
+
+func (p *delayingProxy) address() string { return p.listener.Addr().String() }
+
+func (p *delayingProxy) hold() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.released = make(chan struct{})
+}
+
+func (p *delayingProxy) release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.released)
+}
+
+// wait blocks while the proxy is held.
+func (p *delayingProxy) wait() {
+	p.mu.Lock()
+	released := p.released
+	p.mu.Unlock()
+	<-released
+}
+
+func (p *delayingProxy) forward(group *bfgroup.Group, from net.Conn) {
+	defer from.Close()
+	p.wait()
+	to, err := net.Dial("tcp", p.target)
+	if err != nil {
+		return
+	}
+	defer to.Close()
+	group.Go("answers", func(context.Context) error {
+		// The end of either side ends the other below.
+		_, _ = io.Copy(from, to)
+		return nil
+	})
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		p.wait()
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			// The node has read everything before it sees the end.
+			time.Sleep(50 * time.Millisecond)
+			return
+		}
+	}
+}
+
+// delayedFleet is a source that reads the store and a follower behind a proxy.
+func delayedFleet(t *testing.T) (stopSource func(), follower *Exchange, proxy *delayingProxy) {
+	t.Helper()
+	timer := bftimer.New(1)
+	source, rest := bfgroup.New(context.Background()), bfgroup.New(context.Background())
+	rest.Go("timer", timer.Run)
+	t.Cleanup(rest.Cancel)
+	t.Cleanup(source.Cancel)
+	sourceState, sourceAddress := start(t, source, timer, true)
+	state, address, exchange := startExchange(t, rest, timer, true)
+	proxy = newDelayingProxy(t, rest, address)
+	roster := Roster{Revision: 9, Members: []bffleet.Member{
+		{Inbound: sourceAddress, Peer: sourceAddress, Domain: "nord", LinkMbps: 3},
+		{Inbound: "absent", Peer: "127.0.0.1:1", Domain: "nord", LinkMbps: 2},
+		{Inbound: address, Peer: proxy.address(), Domain: "nord", LinkMbps: 1},
+	}}
+	sourceState.ApplyRoster(roster)
+	state.ApplyRoster(roster)
+	waitFor(t, "the follower receives fresh updates", func() bool { return exchange.ReceivesFresh() && !exchange.ReadsStore() })
+	return source.Cancel, exchange, proxy
+}
+
+// Guards against a node that counts itself current, and does not read the store, because updates
+// that were sent long ago arrive now.
+func TestDelayedUpdatesDoNotCountAsFresh(t *testing.T) {
+	is := is.New(t)
+	stopSource, follower, proxy := delayedFleet(t)
+	proxy.hold()
+	time.Sleep(3 * receiveTimeout)
+	stopSource()
+	is.True(follower.ReadsStore()) // nothing has arrived for long
+	proxy.release()
+	for range 100 {
+		time.Sleep(10 * time.Millisecond)
+		is.True(!follower.ReceivesFresh())
+		is.True(follower.ReadsStore())
+	}
+}
