bfnews: an update counts as fresh only if it proves when it was sent

Callers saw an old version from a node that had been suspended and counted itself current afterwards.

Cause: an update counted as received when it arrived. What had waited in the sockets of a suspended node, or on a stalled link, made it current as of its sender's past: it neither read the store nor polled in the short interval. Class: freshness judged by arrival, a message one way as proof of the present.

Each answer to an update carries a reading of the receiver's clock; the sender's next update returns it with the time since. The receiver alone subtracts: no two clocks are compared, and a clock that stood still shows as an update from the future. What is older than 500 ms is applied as before but proves nothing. A sender without a reading sends once more at the first answer, so that a replacement for lost relays keeps the other followers from reading too (TestOneFollowerReplacesLostRelays). Beside a node of an earlier release, nodes read the store themselves.

TestSourcesUpdateTheOthers waits for the first fresh update before the change instead of taking the very first message of a sender for one; its checks are unchanged.

--- a/lib/bfnews/delayed_test.go
+++ b/lib/bfnews/delayed_test.go
@@ -125,6 +125,7 @@
 	proxy.hold()
 	time.Sleep(3 * receiveTimeout)
 	stopSource()
+	time.Sleep(receiveTimeout)
 	is.True(follower.ReadsStore()) // nothing has arrived for long
 	proxy.release()
 	for range 100 {
@@ -133,3 +134,43 @@
 		is.True(follower.ReadsStore())
 	}
 }
+
+// Guards against taking an update for fresh that was sent before either node was suspended or
+// restarted, and against rejecting one that was sent just now.
+func TestAgeOfUpdates(t *testing.T) {
+	const second = clockReading(1000)
+	for name, test := range map[string]struct {
+		now   clockReading
+		echo  echo
+		fresh bool
+	}{
+		"no answer yet":                          {now: 50 * second, echo: echo{}, fresh: false},
+		"just sent":                              {now: 50 * second, echo: echo{Reading: 49 * second, Age: second - 3}, fresh: true},
+		"receiver was stopped":                   {now: 50 * second, echo: echo{Reading: 33 * second, Age: 2 * second}, fresh: false},
+		"receiver's clock stood still":           {now: 33*second + 200, echo: echo{Reading: 33 * second, Age: 2 * second}, fresh: false},
+		"sender was stopped before sending":      {now: 50 * second, echo: echo{Reading: 33 * second, Age: 100}, fresh: false},
+		"receiver was restarted":                 {now: 90000 * second, echo: echo{Reading: 49 * second, Age: 10}, fresh: false},
+		"clocks run at slightly different rates": {now: 50 * second, echo: echo{Reading: 49 * second, Age: second + 40}, fresh: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(test.echo.provesFresh(test.now), test.fresh)
+		})
+	}
+}
+
+// Guards against a member's old clock reading being used after it was restarted, against answers
+// that overtake each other, and against readings that are kept for members that have left.
+func TestEchoesFollowTheLatestAnswer(t *testing.T) {
+	is := is.New(t)
+	var e echoes
+	is.Equal(e.to("a", 7), echo{})
+	e.record("a", 5000, 100)
+	e.record("a", 4990, 102) // overtaken by the answer above
+	is.Equal(e.to("a", 130), echo{Reading: 5000, Age: 30})
+	e.record("a", 40, 200) // restarted, with another clock
+	is.Equal(e.to("a", 201), echo{Reading: 40, Age: 1})
+	e.record("b", 1, 1)
+	e.retain([]bffleet.Member{{Peer: "b"}})
+	is.Equal(e.to("a", 300), echo{})
+	is.Equal(e.to("b", 3), echo{Reading: 1, Age: 2})
+}
--- a/lib/bfnews/news.go
+++ b/lib/bfnews/news.go
@@ -104,6 +104,8 @@
 	quarantine Reconciler
 	rollouts   Orders
 	started    time.Time
+	clockStart clockReading
+	echoes     echoes
 	// firstStart is set if the whole fleet starts for the first time; firstStartDelay is how
 	// long this node then waits before it reads the member list.
 	firstStart      bool
@@ -156,7 +158,7 @@
 		self: config.Self, place: config.Place, firstStart: config.FirstStart, state: config.State, fleet: config.Fleet,
 		calls: config.Calls, timer: config.Timer, logger: config.Logger, spawn: config.Spawn, quarantine: config.Quarantine, rollouts: config.Rollouts,
 		firstStartDelay: firstStartDelay + time.Duration(rand.Float64()*float64(firstStartJitter)),
-		changed:         make(chan struct{}, 1), started: time.Now(),
+		changed:         make(chan struct{}, 1), started: time.Now(), clockStart: newClockStart(),
 	}
 }
 
--- a/lib/bfnews/news_test.go
+++ b/lib/bfnews/news_test.go
@@ -419,6 +419,8 @@
 	d := newDomain(t, timer, 4)
 	sources := []string{d.plan.relays[0].Inbound, d.plan.relays[1].Inbound}
 	waitFor(t, "only the sources read the store", func() bool { return slices.Equal(d.readers(), sources) })
+	last := d.plan.domain[3].Inbound
+	waitFor(t, "the last follower receives updates", d.exchanges[last].ReceivesFresh)
 	next := testSpec(9, "r", "s")
 	next.Routes[0].Rank = 1
 	for _, address := range sources {
@@ -430,7 +432,6 @@
 		specs, _ := state.counts()
 		is.Equal(specs, map[bool]int{true: 2, false: 1}[slices.Contains(sources, address)]) // the initial one, and for a source the one it read
 	}
-	last := d.plan.domain[3].Inbound
 	is.True(d.exchanges[last].ReceivesFresh())
 	for _, address := range sources {
 		d.states[address].setCurrent(false)
--- a/lib/bfnews/push.go
+++ b/lib/bfnews/push.go
@@ -38,6 +38,12 @@
 	Quarantine uint64 `json:"quarantine,omitempty"`
 	// Rollouts is the digest of the roll-outs.
 	Rollouts uint64 `json:"rollouts,omitempty"`
+	echo
+}
+
+// updateAnswer answers an update with the receiver's clock.
+type updateAnswer struct {
+	Clock clockReading `json:"clock,omitempty"`
 }
 
 // Changed triggers an immediate update to the downstream nodes.
@@ -68,7 +74,9 @@
 		e.sendFirstHint()
 		u := e.newUpdate(reads && e.state.Follows())
 		now := e.currentState(last)
-		e.push(p.downstream(e.place.Inbound), u.withChanges(last, now))
+		downstream := p.downstream(e.place.Inbound)
+		e.echoes.retain(downstream)
+		e.push(downstream, u.withChanges(last, now))
 		last = now
 	}
 	return nil
@@ -152,10 +160,20 @@
 	e.spawn("push update", func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		var empty struct{}
-		// A member that misses this update gets the next one, or reads the store after the
-		// timeout.
-		_ = e.calls.Call(ctx, peer, pushMethod, u, &empty)
+		u.echo = e.echoes.to(peer, e.clock())
+		var answer updateAnswer
+		if err := e.calls.Call(ctx, peer, pushMethod, u, &answer); err != nil || answer.Clock == 0 {
+			// A member that misses this update gets the next one, or reads the store after the
+			// timeout.
+			return nil
+		}
+		e.echoes.record(peer, answer.Clock, e.clock())
+		if u.Reading == 0 && !u.Hint {
+			// Only an update with an echo counts as fresh; without this one, the next followers
+			// would time out and read the store as well.
+			u.Delta, u.Members = nil, nil
+			e.pushTo(u, peer)
+		}
 		return nil
 	})
 }
@@ -182,9 +200,11 @@
 	}
 }
 
-// recordReceipt records when an update of each kind last arrived.
+// recordReceipt records when an update of each kind last arrived. An update that may have been
+// sent long ago does not count, else the node would take its sender's state of then for the
+// current one.
 func (e *Exchange) recordReceipt(u update) {
-	if u.Hint {
+	if u.Hint || !u.provesFresh(e.clock()) {
 		return
 	}
 	now := e.uptime()
@@ -218,7 +238,7 @@
 			return nil
 		})
 	}
-	return struct{}{}, nil
+	return updateAnswer{Clock: e.clock()}, nil
 }
 
 // applyDelta applies an encoded delta, if there is one. If it does not apply, the node stays
--- a/lib/bfnews/reading.go
+++ b/lib/bfnews/reading.go
@@ -105,6 +105,11 @@
 // uptime returns the monotonic time since the start in nanoseconds, at least 1.
 func (e *Exchange) uptime() int64 { return max(int64(e.timer.Now().Sub(e.started)), 1) }
 
+// clock returns the reading of this node's clock.
+func (e *Exchange) clock() clockReading {
+	return e.clockStart + clockReading(e.uptime()/int64(time.Millisecond))
+}
+
 // plan returns the plan for the current member list.
 func (e *Exchange) plan() *plan {
 	generation := e.fleet.Generation()
