Failing test: a version that the readers of the store miss reaches nobody in time

A source claims to follow the store while its held call is pending: until keep-alive probes and a dial fail (4 s) or the wait and its margin end (up to 7.5 s). Nobody else reads meanwhile, since the relays receive its updates.

--- a/bftrial/internal/bfsoak/faults.go
+++ b/bftrial/internal/bfsoak/faults.go
@@ -56,6 +56,7 @@
 	{fleetKilled, (*harness).killFleetBetweenCrashes},
 	{goodRollout, (*harness).rollOutGoodVersion},
 	{badRollout, (*harness).rollOutBadVersion},
+	{readersSilenced, (*harness).silenceReaders},
 }
 
 // runFaults injects overlapping faults while callers send requests.
--- a/bftrial/internal/bfsoak/soak_test.go
+++ b/bftrial/internal/bfsoak/soak_test.go
@@ -59,6 +59,12 @@
 	soak(t, Options{Binaries: build(t), Seed: 1, Nodes: 5, Callers: 24, Faults: 12 * time.Second, Only: badRollout})
 }
 
+// Guards against a fleet that misses a version for as long as the nodes that read the store for it
+// wait for answers that never come.
+func TestVersionArrivesWithoutTheReadersOfTheStore(t *testing.T) {
+	soak(t, Options{Binaries: build(t), Seed: 1, Nodes: 9, Callers: 12, Faults: 4 * time.Second, Only: readersSilenced})
+}
+
 // build compiles the programs that a soak runs and returns their directory.
 func build(t *testing.T) string {
 	t.Helper()
