A node that reads the store for others says so at once when it no longer does

Callers saw requests handled as an older version says, or refused with 404, for up to 4.5 s where the store stopped answering the nodes that read it.

Cause: a source counted as following the store for as long as its held call was pending, and said so in its updates. A dead connection or a dropped call looks the same until keep-alive probes and a dial fail (4 s) or the wait ends (7.5 s). Its updates kept all others from reading. Same class as the delayed updates: a node current by evidence that is old.

- bffollow: the waits of a follower can be bounded, and so can the time after the wait until a call counts as unanswered, beside twice the store's usual time, so that a slow store is not taken for a silent one; after a failed call the client's own limit applies.
- bfnews: a relay that is told by the last reader that it stopped reads at once instead of after the timeout, which is for readers that say nothing.

--- a/lib/bffollow/follow.go
+++ b/lib/bffollow/follow.go
@@ -28,6 +28,9 @@
 	rows          bfstore.TableStore
 	apply         func(Batch)
 	batchDelay    time.Duration
+	maxWait       time.Duration
+	answerMargin  time.Duration
+	changed       func()
 	shouldFollow  func() bool
 	knownRevision func() bfstore.Revision
 	timer         *bftimer.Service
@@ -36,6 +39,8 @@
 	healthy       atomic.Bool
 	// following is set while the node follows the table itself and its last call succeeded.
 	following atomic.Bool
+	// latency is the time that the last answer took beyond its call's wait; only Run uses it.
+	latency time.Duration
 	// revision is the store revision of the node's own last read.
 	revision atomic.Uint64 // a bfstore.Revision
 	// wake ends the idle pause of a node that does not follow the table.
@@ -51,6 +56,14 @@
 	// BatchDelay is the pause after a change, in which further changes are batched to save
 	// calls.
 	BatchDelay time.Duration
+	// MaxWait bounds how long the store may hold a call until a change arrives; 0 for a bound
+	// that suits a table whose changes may arrive seconds late.
+	MaxWait time.Duration
+	// AnswerMargin is how long after its wait a call may remain unanswered, beside twice the
+	// store's usual time, until the node no longer counts as following; 0 for the limit of Rows.
+	AnswerMargin time.Duration
+	// Changed is called by Run when Follows changes; nil for none.
+	Changed func()
 	// ShouldFollow reports whether this node should follow the table itself; nil for always.
 	ShouldFollow func() bool
 	// KnownRevision returns the store revision of the rows received from other nodes, 0 for
@@ -64,7 +77,14 @@
 
 // New returns a follower, which Run starts.
 func New(config Config) *Follower {
+	if config.MaxWait == 0 {
+		config.MaxWait = maxWait
+	}
+	if config.Changed == nil {
+		config.Changed = func() {}
+	}
 	return &Follower{
+		maxWait: config.MaxWait, answerMargin: config.AnswerMargin, changed: config.Changed,
 		table: config.Table, rows: config.Rows, apply: config.Apply, batchDelay: config.BatchDelay, shouldFollow: config.ShouldFollow, knownRevision: config.KnownRevision, timer: config.Timer, logger: config.Logger,
 		calls: config.Metrics.Counter("store_reads_" + config.Table), wake: make(chan struct{}, 1),
 	}
@@ -105,11 +125,12 @@
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	at := position{}
-	backoff, wait := minBackoff, minWait
+	firstWait := min(minWait, f.maxWait)
+	backoff, wait := minBackoff, firstWait
 	for ctx.Err() == nil {
 		if f.shouldFollow != nil && !f.shouldFollow() {
 			// Other nodes send the changes in the meantime.
-			f.following.Store(false)
+			f.setFollowing(false)
 			at = f.resume(at)
 			f.idle(ctx)
 			continue
@@ -130,9 +151,9 @@
 			backoff, wait = min(2*backoff, maxBackoff), retryWait
 			continue
 		}
-		backoff, wait = minBackoff, min(waitGrowth*wait, maxWait)
+		backoff, wait = minBackoff, min(waitGrowth*wait, f.maxWait)
 		if changed {
-			wait = minWait
+			wait = firstWait
 		}
 		if changed && f.timer.Wait(ctx, f.batchDelay) != nil {
 			return nil
@@ -178,7 +199,13 @@
 		f.apply(Batch{Full: true, Entries: entries, Revision: revision})
 		return position{listed: true, after: revision}, false, nil
 	}
-	entries, revision, err := f.rows.Changes(ctx, f.table, at.after, wait)
+	limited, cancel := f.limit(ctx, wait)
+	defer cancel()
+	began := f.timer.Now()
+	entries, revision, err := f.rows.Changes(limited, f.table, at.after, wait)
+	if err == nil && len(entries) == 0 {
+		f.latency = max(f.timer.Now().Sub(began)-wait, 0)
+	}
 	var dropped *bfstore.HistoryError
 	switch {
 	case errors.As(err, &dropped):
@@ -192,6 +219,17 @@
 	return position{listed: true, after: max(revision, at.after)}, len(entries) > 0, nil
 }
 
+// limit returns a context for a call that the store may hold for wait. A call that remains
+// unanswered for longer is no evidence that the node follows the table: the store or the
+// connection may have dropped it. After a failed call the limit is that of Rows, so that a store
+// which has become slower is still read.
+func (f *Follower) limit(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
+	if f.answerMargin == 0 || !f.following.Load() {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, wait+f.answerMargin+2*f.latency)
+}
+
 // resume returns the position from which to continue, from the node's own reads and the rows
 // received from others. The store reports an error if it no longer has the changes since then.
 func (f *Follower) resume(at position) position {
@@ -205,7 +243,7 @@
 // recordResult updates the follower's health and logs when the store becomes unavailable or
 // recovers.
 func (f *Follower) recordResult(err error) {
-	f.following.Store(err == nil)
+	f.setFollowing(err == nil)
 	wasHealthy := f.healthy.Swap(err == nil)
 	switch {
 	case err != nil && wasHealthy:
@@ -214,3 +252,9 @@
 		f.logger.Emit(bflog.StoreRegained, slog.String("table", f.table))
 	}
 }
+
+func (f *Follower) setFollowing(following bool) {
+	if f.following.Swap(following) != following {
+		f.changed()
+	}
+}
--- a/lib/bffollow/follow_test.go
+++ b/lib/bffollow/follow_test.go
@@ -24,8 +24,10 @@
 	down bool
 	// unresponsive makes the store drop calls that begin while it is set.
 	unresponsive bool
-	calls        int
-	lists        int
+	// latency delays each answer.
+	latency time.Duration
+	calls   int
+	lists   int
 }
 
 func (f *faultyStore) setDown(down bool) {
@@ -74,14 +76,23 @@
 
 func (f *faultyStore) Changes(ctx context.Context, table string, after bfstore.Revision, wait time.Duration) ([]bfstore.Entry, bfstore.Revision, error) {
 	if f.isUnresponsive() {
-		// The caller's timeout ends the call a second after the wait.
-		time.Sleep(wait + time.Second)
+		// The client's timeout ends the call a second after the wait.
+		timeout, cancel := context.WithTimeout(ctx, wait+time.Second)
+		defer cancel()
+		<-timeout.Done()
 		return nil, 0, &bfstore.UnavailableError{Reason: "no answer"}
 	}
 	if err := f.call(false); err != nil {
 		return nil, 0, err
 	}
-	return f.MemoryTableStore.Changes(ctx, table, after, wait)
+	entries, revision, err := f.MemoryTableStore.Changes(ctx, table, after, wait)
+	delay, cancel := context.WithTimeout(ctx, f.latency)
+	defer cancel()
+	<-delay.Done()
+	if ctx.Err() != nil {
+		return nil, 0, &bfstore.UnavailableError{Reason: "no answer"}
+	}
+	return entries, revision, err
 }
 
 const batchDelay = 300 * time.Millisecond
@@ -321,3 +332,55 @@
 		is.NoErr(group.Wait())
 	})
 }
+
+// runReader runs fn with a follower that reads for others, in simulated time; changes counts the
+// calls of Changed.
+func runReader(t *testing.T, latency time.Duration, fn func(is *is.I, store *faultyStore, f *Follower, changes *atomic.Int32)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		store := &faultyStore{MemoryTableStore: bfstore.NewMemoryTableStore(), latency: latency}
+		timer := bftimer.New(1)
+		var changes atomic.Int32
+		f := New(Config{
+			Table: "t", Rows: store, Apply: func(Batch) {}, BatchDelay: batchDelay, Timer: timer, Logger: bflog.Discard(), Metrics: bfmetric.New(),
+			MaxWait: 700 * time.Millisecond, AnswerMargin: 500 * time.Millisecond, Changed: func() { changes.Add(1) },
+		})
+		group := bfgroup.New(context.Background())
+		group.Go("timer", timer.Run)
+		group.Go("follow", f.Run)
+		fn(is.New(t), store, f, &changes)
+		group.Cancel()
+		is.New(t).NoErr(group.Wait())
+	})
+}
+
+// Guards against a node that others rely on and that counts as reading the table while its calls
+// remain unanswered.
+func TestUnansweredCallEndsFollowing(t *testing.T) {
+	runReader(t, 0, func(is *is.I, store *faultyStore, f *Follower, changes *atomic.Int32) {
+		time.Sleep(10 * time.Second)
+		is.True(f.Follows())
+		is.Equal(changes.Load(), int32(1))
+		store.setUnresponsive(true)
+		const longestCall = 910 * time.Millisecond // the wait with its jitter
+		time.Sleep(longestCall + longestCall + 500*time.Millisecond)
+		is.True(!f.Follows())
+		is.Equal(changes.Load(), int32(2))
+		store.setUnresponsive(false)
+		time.Sleep(3 * time.Second)
+		is.True(f.Follows())
+	})
+}
+
+// Guards against a store that has become slow for all being taken for one that does not answer.
+func TestSlowStoreIsFollowed(t *testing.T) {
+	runReader(t, 450*time.Millisecond, func(is *is.I, store *faultyStore, f *Follower, changes *atomic.Int32) {
+		time.Sleep(10 * time.Second)
+		store.mu.Lock()
+		store.latency = 900 * time.Millisecond
+		store.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		is.True(f.Follows())
+		is.Equal(changes.Load(), int32(1))
+	})
+}
--- a/lib/bfnews/delayed_test.go
+++ b/lib/bfnews/delayed_test.go
@@ -174,3 +174,29 @@
 	is.Equal(e.to("a", 300), echo{})
 	is.Equal(e.to("b", 3), echo{Reading: 1, Age: 2})
 }
+
+// Guards against a fleet without news while a node that reads the store for it has said that it no
+// longer does, but not for long enough to count as lost.
+func TestStoppedReaderIsReplacedAtOnce(t *testing.T) {
+	is := is.New(t)
+	group := bfgroup.New(context.Background())
+	defer group.Cancel()
+	timer := bftimer.New(1)
+	group.Go("timer", timer.Run)
+	_, _, relay := startExchange(t, group, timer, true)
+	time.Sleep(receiveTimeout)
+	receive := func(peer string, reader bool) {
+		relay.recordReceipt(update{Peer: peer, Reader: reader, echo: echo{Reading: relay.clock()}})
+	}
+	readerLost := func() bool { return relay.timedOut(&relay.received.reader, receiveTimeout) }
+	receive("a", true)
+	receive("b", true)
+	receive("c", false) // never was a reader
+	is.True(!readerLost())
+	receive("a", false)
+	is.True(!readerLost()) // b still reads
+	receive("b", false)
+	is.True(readerLost())
+	receive("a", true)
+	is.True(!readerLost())
+}
--- a/lib/bfnews/news.go
+++ b/lib/bfnews/news.go
@@ -111,6 +111,7 @@
 	firstStart      bool
 	firstStartDelay time.Duration
 	received        receiptTimes
+	readers         activeReaders
 	// reported is the role that was last logged; only pushUpdates uses it.
 	reported   roleReport
 	cachedPlan atomic.Pointer[plan]
--- a/lib/bfnews/push.go
+++ b/lib/bfnews/push.go
@@ -212,8 +212,14 @@
 	if u.Fresh {
 		e.received.fresh.Store(now)
 	}
-	if u.Reader {
+	latest, stopped := e.readers.observe(u, now)
+	switch {
+	case u.Reader:
 		e.received.reader.Store(now)
+	case stopped:
+		// The timeout is for readers that say nothing. If the only one says that it no longer
+		// reads, this node takes its place at once.
+		e.received.reader.Store(max(latest, now-int64(receiveTimeout), 1))
 	}
 }
 
--- a/lib/bfnews/reading.go
+++ b/lib/bfnews/reading.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -47,6 +48,36 @@
 	any, fresh, reader atomic.Int64
 }
 
+// activeReaders holds when each node that reads the store last sent an update. It is safe for
+// concurrent use.
+type activeReaders struct {
+	mu       sync.Mutex
+	lastSent map[string]int64
+}
+
+// observe records an update, and returns the time of the latest update from a reader, 0 for none
+// within the receive timeout. stopped reports whether the sender was a reader before this update.
+func (a *activeReaders) observe(u update, now int64) (latest int64, stopped bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.lastSent == nil {
+		a.lastSent = map[string]int64{}
+	}
+	_, wasReader := a.lastSent[u.Peer]
+	delete(a.lastSent, u.Peer)
+	if u.Reader {
+		a.lastSent[u.Peer] = now
+	}
+	for peer, at := range a.lastSent {
+		if now-at >= int64(receiveTimeout) {
+			delete(a.lastSent, peer)
+			continue
+		}
+		latest = max(latest, at)
+	}
+	return latest, wasReader && !u.Reader
+}
+
 // ReadsStore reports whether this node should read the store itself.
 //
 // A timeout starts at the first call at the earliest: a node that starts has just read the
