Observability for LIMIT: what targets name as their limit, and how many requests they get

An answer without a limit ends it only if its request was sent after the limit was named: answers overtake each other. Nothing acts on the limit yet.

--- a/bfnode/internal/bfmesh/metrics.go
+++ b/bfnode/internal/bfmesh/metrics.go
@@ -19,6 +19,7 @@
 	gauge("current", func() int64 { return boolToInt(n.current()) })
 	gauge("slots", func() int64 { _, slots := n.host.Load(); return int64(slots) })
 	gauge("slots_used_or_waited_for", func() int64 { used, _ := n.host.Load(); return int64(used) })
+	gauge("target_requests", n.host.Sends)
 	gauge("requests_active", n.entry.Active)
 	gauge("link_backlog_ms", func() int64 { return n.pacer.Backlog().Milliseconds() })
 	gauge("quarantine_contents", func() int64 { return int64(n.quarantine.View().Len()) })
--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -132,7 +132,7 @@
 	n.nodes = bfexchange.New(bfexchange.Options{DialTimeout: dialTimeout, DefaultIdleTimeout: nodeIdleTimeout, Wrap: n.wrap})
 	n.host = bfhost.New(bfhost.Config{
 		Service: common.Service, Names: names, Client: n.targets, Timer: n.timer, Account: account,
-		Changed: n.targetChanged, Quarantine: n.quarantine, Crashed: n.targetCrashed, AdmitsVersion: n.admitsVersion,
+		Changed: n.targetChanged, Quarantine: n.quarantine, Crashed: n.targetCrashed, AdmitsVersion: n.admitsVersion, LimitChanged: n.limitChanged,
 	})
 	n.entry = bfentry.New(bfentry.Config{
 		Service: common.Service, Inbound: common.Inbound, Names: names,
--- a/lib/bfheader/forward.go
+++ b/lib/bfheader/forward.go
@@ -69,4 +69,9 @@
 	NotRun string
 	// CallerService is the service of the entry node's own target.
 	CallerService string
+	// Limit is how many requests a second the answering target takes from all nodes together; "" if
+	// targets name no limit.
+	Limit string
+	// Leaving marks the answers of a target that leaves; "" if targets don't say so in answers.
+	Leaving string
 }
--- a/lib/bfhost/host.go
+++ b/lib/bfhost/host.go
@@ -37,6 +37,8 @@
 	AdmitsVersion func(version string, chosen bool) bool
 	// Crashed is called after a crash of the target; nil is allowed.
 	Crashed func(bfflight.Crash)
+	// LimitChanged is called when the target names another limit or none; nil is allowed.
+	LimitChanged func(LimitChange)
 }
 
 // Host manages the node's target.
@@ -52,6 +54,9 @@
 	// nodes whose answers are still being sent.
 	inProgress atomic.Int64
 	failures   failureShare
+	limit      targetLimit
+	// sends counts the requests sent to the target.
+	sends atomic.Int64
 	// runs maps the ID of each request in progress to its *bfbudget.Run.
 	runs    sync.Map
 	flights *bfflight.Tracker
@@ -62,6 +67,9 @@
 	if config.Quarantine == nil {
 		config.Quarantine = bfquarantine.New("")
 	}
+	if config.LimitChanged == nil {
+		config.LimitChanged = func(LimitChange) {}
+	}
 	h := &Host{
 		config:  config,
 		gate:    bfslot.New(config.Timer),
@@ -127,6 +135,9 @@
 // Leaving reports whether the node refuses new requests for its target.
 func (h *Host) Leaving() bool { return h.leaving.Load() }
 
+// Sends returns the number of requests sent to targets since the start of the node.
+func (h *Host) Sends() int64 { return h.sends.Load() }
+
 // Running is the number of requests in progress at the target, plus the answers that are
 // still being sent to other nodes.
 func (h *Host) Running() int64 { return h.inProgress.Load() }
@@ -272,6 +283,8 @@
 	header := job.Request.Header
 	header[h.config.Names.Deadline] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
 	header[h.config.Names.ExpectTarget] = []string{to.target.Incarnation()}
+	sent := h.config.Timer.Now()
+	h.sends.Add(1)
 	answer, err := h.config.Client.Send(ctx, to.target.Address(), job.Request)
 	var notSent *bfexchange.NotSentError
 	switch {
@@ -286,6 +299,9 @@
 		defer finish()
 		return h.lost(ctx, err, job, to)
 	}
+	if answer.Status() != http.StatusMisdirectedRequest {
+		h.observeLimit(to.target, answer.Header(), sent)
+	}
 	return h.readResponse(ctx, answer, to, finish, job)
 }
 
--- a/lib/bfhost/host_test.go
+++ b/lib/bfhost/host_test.go
@@ -22,6 +22,7 @@
 
 var names = bfheader.Names{
 	RequestID: "T-Id", Deadline: "T-Deadline", ExpectTarget: "T-Expect", Target: "T-Target", NotRun: "T-Not-Run", CallerService: "T-Caller",
+	Limit: "T-Limit", Leaving: "T-Leaving",
 }
 
 // fixture is a host with a scripted target.
--- a/lib/bflog/events.go
+++ b/lib/bflog/events.go
@@ -66,6 +66,8 @@
 	RequestSuspected   = declare(4108, slog.LevelInfo, "request suspected of crashing targets, isolated", "Nothing yet; an answer clears it, another crash quarantines it.")
 	RequestQuarantined = declare(4109, slog.LevelWarn, "request suspected of crashing targets, quarantined", "Find the request by its content in the lines of event 4107 and fix the target; it is refused and tried again after the time given.")
 	BackupRead         = declare(4110, slog.LevelInfo, "quarantine restored from backup", "Nothing.")
+	TargetLimitChanged = declare(4112, slog.LevelInfo, "target's limit changed", "Nothing; requests beyond the limit go to other targets or are refused.")
+	TargetLimitRefused = declare(4113, slog.LevelWarn, "target's limit unreadable, the previous one stays", "Correct what the target names as its limit.")
 	BackupError        = declare(4111, slog.LevelWarn, "quarantine backup not read or written", "Nothing; it is retried. A fleet restarted before it succeeds loses the quarantine.")
 )
 
