--- a/bftrial/internal/bfsoak/check.go
+++ b/bftrial/internal/bfsoak/check.go
@@ -65,6 +65,7 @@
 		h.addViolation("only %d of %d requests were served", served, len(h.outcomes.all))
 	}
 	h.checkQuarantine()
+	h.checkLimits()
 	h.runLog.mu.Lock()
 	defer h.runLog.mu.Unlock()
 	for incarnation, left := range h.runLog.departed {
--- a/bftrial/internal/bfsoak/faults.go
+++ b/bftrial/internal/bfsoak/faults.go
@@ -50,6 +50,9 @@
 // crashing is added to faults if Options.Crashing is set.
 var crashing = fault{crashingRequest, (*harness).sendCrashingRequests}
 
+// limited is added to faults if Options.Limits is set.
+var limited = fault{"target names a limit", (*harness).nameLimit}
+
 // scenarios are faults that can be selected by name with Options.Only.
 var scenarios = []fault{
 	crashing,
@@ -57,6 +60,7 @@
 	{goodRollout, (*harness).rollOutGoodVersion},
 	{badRollout, (*harness).rollOutBadVersion},
 	{readersSilenced, (*harness).silenceReaders},
+	{limitedTargets, (*harness).limitTargets},
 }
 
 // runFaults injects overlapping faults while callers send requests.
@@ -88,7 +92,10 @@
 	}
 	candidates := faults
 	if h.options.Crashing {
-		candidates = append(slices.Clone(faults), crashing)
+		candidates = append(slices.Clone(candidates), crashing)
+	}
+	if h.options.Limits {
+		candidates = append(slices.Clone(candidates), limited, limited)
 	}
 	began := time.Now()
 	done := make(chan struct{})
--- a/bftrial/internal/bfsoak/harness.go
+++ b/bftrial/internal/bfsoak/harness.go
@@ -28,6 +28,8 @@
 	Faults time.Duration
 	// Crashing adds requests that crash targets to the faults.
 	Crashing bool
+	// Limits adds targets that name limits to the faults.
+	Limits bool
 	// Only names a single scenario to run instead of random faults.
 	Only string
 }
--- a/bftrial/internal/bfsoak/soak_test.go
+++ b/bftrial/internal/bfsoak/soak_test.go
@@ -65,6 +65,12 @@
 	soak(t, Options{Binaries: build(t), Seed: 1, Nodes: 9, Callers: 12, Faults: 4 * time.Second, Only: readersSilenced})
 }
 
+// Guards against a target that gets more than the limit that it has named, summed over all nodes, or
+// as little as its limit after that has ended.
+func TestLimitOfATargetIsKept(t *testing.T) {
+	soak(t, Options{Binaries: build(t), Seed: 1, Nodes: 6, Callers: 24, Faults: 18 * time.Second, Only: limitedTargets})
+}
+
 // build compiles the programs that a soak runs and returns their directory.
 func build(t *testing.T) string {
 	t.Helper()
--- a/bftrial/internal/bfsoak/target.go
+++ b/bftrial/internal/bfsoak/target.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -33,12 +34,14 @@
 	lastRun map[string]time.Time
 	// departed is when the departure of an incarnation was acknowledged.
 	departed map[string]time.Time
+	// limits holds the limits and the arrivals of each incarnation.
+	limits map[string]*limitLog
 	// crashing holds the runs of crashing requests by content ID.
 	crashing map[string][]crashingRun
 }
 
 func newRunLog() *runLog {
-	return &runLog{runs: map[string]int{}, versionRuns: map[string]int{}, lastRun: map[string]time.Time{}, departed: map[string]time.Time{}, crashing: map[string][]crashingRun{}}
+	return &runLog{runs: map[string]int{}, versionRuns: map[string]int{}, lastRun: map[string]time.Time{}, departed: map[string]time.Time{}, limits: map[string]*limitLog{}, crashing: map[string][]crashingRun{}}
 }
 
 func (l *runLog) recordRun(id, incarnation, version string) {
@@ -49,6 +52,12 @@
 	l.lastRun[incarnation] = time.Now()
 }
 
+func (l *runLog) addIncarnation(t *incarnation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limits[t.id] = t.limits
+}
+
 func (l *runLog) runCount(id string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -87,6 +96,9 @@
 	lostPercent, duplicatedPercent atomic.Int32
 	// failedPercent is the percentage of runs that end with an error.
 	failedPercent atomic.Int32
+	limits        *limitLog
+	// nests has a part of the runs make a nested call.
+	nests atomic.Bool
 }
 
 var incarnations atomic.Int64
@@ -103,9 +115,11 @@
 	}
 	t := &incarnation{
 		id: fmt.Sprintf("i-%d", incarnations.Add(1)), runLog: log, proxy: p, service: service, node: node, version: version,
+		limits:  &limitLog{},
 		reports: bfdialect.ReportSender{NodeAddress: node.process.Settings().Listen.Target, Client: &http.Client{Timeout: time.Second}},
 	}
 	t.crashed = func() { crashed(t) }
+	log.addIncarnation(t)
 	t.state.Store(int32(bfhost.Ready))
 	t.server = &http.Server{Handler: t}
 	group.Go("target", func(context.Context) error {
@@ -143,6 +157,8 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	t.limits.recordArrival()
+	t.limits.writeLimit(w.Header())
 	defer t.inFlight.Add(-1)
 	if t.inFlight.Add(1) > targetSlots {
 		w.Header().Set(headers.NotRun, "1")
@@ -153,6 +169,9 @@
 	if content := crashingContent(r.URL.Path); content != "" {
 		t.crash(content)
 	}
+	if t.nests.Load() && r.Method == http.MethodGet && rand.IntN(4) == 0 && !strings.Contains(id, nestedSuffix) {
+		t.callNested(r.Context(), id)
+	}
 	time.Sleep(time.Duration(rand.IntN(60)) * time.Millisecond)
 	body := responseBody(id)
 	draw := rand.Int32N(100)
@@ -170,6 +189,29 @@
 	}
 }
 
+// nestedSuffix follows the ID of a run in the ID of its nested call.
+const nestedSuffix = ".n"
+
+// callNested makes a nested call through the target's own node. Its outcome is not checked: the run
+// goes on without it.
+func (t *incarnation) callNested(ctx context.Context, id string) {
+	ctx, cancel := context.WithTimeout(ctx, routeTimeout/2)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.node.process.Settings().Listen.Caller+"/look-v1/"+id, nil)
+	if err != nil {
+		return
+	}
+	request.Host = host
+	request.Header.Set(headers.RequestID, id+nestedSuffix)
+	request.Header.Set(headers.Deadline, strconv.FormatInt((routeTimeout/2).Milliseconds(), 10))
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, response.Body)
+}
+
 // respondTwice writes the response twice on the connection.
 func (t *incarnation) respondTwice(w http.ResponseWriter, id, body string) {
 	c, _, err := w.(http.Hijacker).Hijack()
@@ -177,8 +219,9 @@
 		panic(err)
 	}
 	defer c.Close()
-	response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: of %s\r\nContent-Length: %d\r\n\r\n%s",
-		headers.RequestID, id, signatureHeader, id, len(body), body)
+	var header strings.Builder
+	_ = w.Header().Write(&header) // a strings.Builder never fails
+	response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s%s: of %s\r\nContent-Length: %d\r\n\r\n%s", header.String(), signatureHeader, id, len(body), body)
 	_, _ = io.WriteString(c, response+response)
 	time.Sleep(20 * time.Millisecond)
 }
