A target gets no more requests than the limit that it names

Callers' requests reached a target at 20 to 35 a second that had named a limit of 5.6 in its answers (114 in 4 s where 39 are allowed): no node read it.

The node beside the target passes on every request to it, and so decides alone: the sum over all nodes holds by construction, without any exchange. bflimit admits by a token bucket with the target's rate, empty when the first limit is named, so that in 4 s there are never more than four times the limit and two requests and a quarter second's. What does not fit is refused at once (reason limited, with the time until the next one is taken) and the entry tries another target; nested calls and others that may wait for a slot wait for the limit as long. Late requests leave room for one. A limit of zero is asked again every 4 s, since only answers tell when it ends.

Entries see the slots that the limit lets requests use, and so choose other targets first. A node that restarts forgets its target's limit: each entry sends the limit that it knows with a request, and the node keeps it until its target's first answer. What an entry knows belongs to the start of a target and outlives its row, which a restarting node removes and writes again.

--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -95,7 +95,7 @@
 		if done {
 			c.returnTrial()
 		}
-		if done && refusal.Reason == bfhost.Full && !c.isLastTarget && c.retriesWhenAllFull() {
+		if done && refusal.Reason.LacksCapacity() && !c.isLastTarget && c.retriesWhenAllFull() {
 			c.isLastTarget, c.tried = true, nil
 			continue
 		}
@@ -132,7 +132,7 @@
 	if refused.Reason == bfhost.Quarantined {
 		return true
 	}
-	return c.isLastTarget && refused.Reason == bfhost.Full
+	return c.isLastTarget && refused.Reason.LacksCapacity()
 }
 
 // shouldResend reports whether the request is sent again after a send that may have
@@ -294,8 +294,8 @@
 // recordAcceptance records whether the target accepted the request.
 func (c *call) recordAcceptance(target *bffleet.Target, result bfhost.Result) {
 	refused, isRefused := result.(bfhost.Refused)
-	if isRefused && refused.Reason != bfhost.Full {
-		// The refusal does not depend on the target's free slots.
+	if isRefused && !refused.Reason.LacksCapacity() {
+		// The refusal does not depend on the target's load.
 		return
 	}
 	c.handler.metrics.countAcceptance(c.handler.config.Fleet.IsInOtherDomain(target), isRefused)
@@ -342,7 +342,7 @@
 	request := *c.request
 	request.Header = c.request.Header.Clone()
 	result := c.handler.config.Host.Run(ctx, bfhost.Job{Request: &request, Deadline: c.deadline, Policy: c.policy()})
-	used, slots := c.handler.config.Host.Load()
+	used, slots, _ := c.handler.config.Host.Capacity()
 	target.ReportLoad(used, slots, c.handler.config.Timer.Now())
 	c.updateHealth(target, c.handler.config.Host.Health(c.route.Name()))
 	return result
--- a/lib/bfentry/entry_test.go
+++ b/lib/bfentry/entry_test.go
@@ -30,6 +30,7 @@
 
 var names = bfheader.Names{
 	RequestID: "T-Id", Deadline: "T-Deadline", ExpectTarget: "T-Expect", Target: "T-Target", NotRun: "T-Not-Run", CallerService: "T-Caller",
+	Limit: "T-Limit", Leaving: "T-Leaving",
 }
 
 // node is a node with a scripted target.
--- a/lib/bfentry/refusal.go
+++ b/lib/bfentry/refusal.go
@@ -12,7 +12,7 @@
 // searchTimedOut reports whether the request has spent its time limit on full targets.
 // A nested call has no such limit: its parent holds a slot meanwhile.
 func (c *call) searchTimedOut(now time.Time, refusal bfhost.Refused) bool {
-	if c.parent != nil || c.isLastTarget || refusal.Reason != bfhost.Full {
+	if c.parent != nil || c.isLastTarget || !refusal.Reason.LacksCapacity() {
 		return false
 	}
 	return now.Sub(c.arrived) > bfwalk.MaxSearch(c.route.Objective(), c.handler.localAcceptRates.Of(c.service))
@@ -22,16 +22,16 @@
 // failure domain. Untried targets there are preferred, even if a target of another domain
 // has a lower cost, since they cost no traffic between domains.
 func (c *call) staysInDomain(refusal bfhost.Refused) bool {
-	if c.parent != nil || refusal.Reason != bfhost.Full {
+	if c.parent != nil || !refusal.Reason.LacksCapacity() {
 		return false
 	}
 	return !bfwalk.TriesOtherDomain(c.handler.remoteAcceptRates.Of(c.service), rand.Float64())
 }
 
-// preferFull returns the refusal that is reported to the caller: a refusal by a full target
-// takes precedence, since it shows that a target exists.
+// preferFull returns the refusal that is reported to the caller: a refusal by a full or limited
+// target takes precedence, since it shows that a target exists.
 func preferFull(a, b bfhost.Refused) bfhost.Refused {
-	if a.Reason == bfhost.Full {
+	if a.Reason.LacksCapacity() {
 		return a
 	}
 	return b
@@ -76,7 +76,7 @@
 // all requests and not only to this one or to the current load.
 func suspendsTarget(reason bfhost.Reason) bool {
 	switch reason {
-	case bfhost.Full, bfhost.OverBudget, bfhost.Quarantined:
+	case bfhost.Full, bfhost.Limited, bfhost.OverBudget, bfhost.Quarantined:
 		return false
 	}
 	return true
--- a/lib/bfentry/remote.go
+++ b/lib/bfentry/remote.go
@@ -21,6 +21,7 @@
 	request.Header = c.request.Header.Clone()
 	request.Header[config.Names.Deadline] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
 	bfhost.WritePolicy(request.Header, c.policy())
+	bfhost.WriteLimit(request.Header, target.Limit())
 	config.Pacer.Charge(len(request.Head))
 	from, err := config.Client.Send(ctx, target.Member().Inbound, &request)
 	var notSent *bfexchange.NotSentError
@@ -41,6 +42,7 @@
 	if used, slots, ok := bfhost.ReadLoad(from.Header()); ok {
 		target.ReportLoad(used, slots, now)
 		target.ReportBacklog(bfhost.ReadBacklog(from.Header()), now)
+		target.ReportLimit(bfhost.ReadLimit(from.Header()))
 	}
 	if health, ok := bfhost.ReadHealth(from.Header()); ok {
 		c.updateHealth(target, health)
--- a/lib/bffleet/fleet.go
+++ b/lib/bffleet/fleet.go
@@ -17,6 +17,8 @@
 
 	mu   sync.Mutex
 	view atomic.Pointer[view]
+	// starts holds what is known of the starts of targets.
+	starts map[startKey]*startState
 }
 
 // view is an immutable snapshot of the fleet.
@@ -42,7 +44,7 @@
 // NewWithRandom is New with a source of random numbers from 0 to 1, for deterministic
 // simulations.
 func NewWithRandom(place Place, random func() float64) *Fleet {
-	f := &Fleet{place: place, random: random}
+	f := &Fleet{place: place, random: random, starts: map[startKey]*startState{}}
 	f.view.Store(&view{})
 	return f
 }
@@ -53,7 +55,7 @@
 		held := f.view.Load().members
 		next := make(map[string]*Target, len(members))
 		for _, m := range members {
-			next[m.Inbound] = keepOrReplace(held[m.Inbound], m)
+			next[m.Inbound] = f.keepOrReplace(held[m.Inbound], m)
 		}
 		return next
 	})
@@ -66,18 +68,18 @@
 			delete(next, inbound)
 		}
 		for _, m := range members {
-			next[m.Inbound] = keepOrReplace(next[m.Inbound], m)
+			next[m.Inbound] = f.keepOrReplace(next[m.Inbound], m)
 		}
 		return next
 	})
 }
 
 // keepOrReplace returns the existing target if its member did not change, to keep its state.
-func keepOrReplace(held *Target, m Member) *Target {
+func (f *Fleet) keepOrReplace(held *Target, m Member) *Target {
 	if held != nil && held.member == m {
 		return held
 	}
-	return &Target{member: m}
+	return &Target{member: m, start: f.startOf(m)}
 }
 
 func (f *Fleet) update(change func(map[string]*Target) map[string]*Target) {
@@ -86,6 +88,7 @@
 	next := &view{generation: f.view.Load().generation + 1, members: map[string]*Target{}, services: map[string][]*Target{}}
 	maps.Copy(next.members, f.view.Load().members)
 	next.members = change(next.members)
+	f.forgetStarts(next.members)
 	for _, inbound := range slices.Sorted(maps.Keys(next.members)) {
 		t := next.members[inbound]
 		next.services[t.member.Service] = append(next.services[t.member.Service], t)
--- a/lib/bffleet/fleet_test.go
+++ b/lib/bffleet/fleet_test.go
@@ -143,7 +143,7 @@
 
 func TestLoadReportDecays(t *testing.T) {
 	is := is.New(t)
-	target := &Target{member: member(1, "nord")}
+	target := &Target{member: member(1, "nord"), start: &startState{}}
 	target.Begin()
 	target.ReportLoad(9, 10, start)
 	is.Equal(target.load(start), 1.0) // nine in use, and one more
--- /dev/null
+++ b/lib/bffleet/start_test.go
@@ -0,0 +1,45 @@
+package bffleet
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"bilberryflow.org/lib/bflimit"
+)
+
+// Guards against forgetting the limit of a target while its node removes and writes its row, and
+// against a limit that is taken for that of the target's next start.
+func TestLimitOutlivesTheRow(t *testing.T) {
+	is := is.New(t)
+	f := New(Place{Domain: "nord"})
+	m := member(1, "nord")
+	m.Incarnation, m.StartedMilli, m.Revision = "i", 7, 1
+	target := func() *Target { return f.view.Load().members[m.Inbound] }
+	f.Replace([]Member{m})
+	is.Equal(target().Limit(), nil)
+	target().ReportLimit(bflimit.PerSecond(4))
+	f.Change(nil, []string{m.Inbound})
+	m.Revision = 2
+	f.Change([]Member{m}, nil)
+	is.Equal(target().Limit(), bflimit.PerSecond(4))
+	m.StartedMilli = 8
+	f.Change([]Member{m}, nil)
+	is.Equal(target().Limit(), nil)
+	target().ReportLimit(bflimit.PerSecond(4))
+	target().ReportLimit(nil)
+	is.Equal(target().Limit(), nil)
+}
+
+// Guards against memory that grows with every target that ever was.
+func TestFormerStartsAreBounded(t *testing.T) {
+	is := is.New(t)
+	f := New(Place{Domain: "nord"})
+	m := member(1, "nord")
+	m.Incarnation = "i"
+	for started := range int64(3 * maxFormerStarts) {
+		m.StartedMilli = started
+		f.Replace([]Member{m})
+	}
+	is.True(len(f.starts) <= maxFormerStarts+1)
+}
--- a/lib/bffleet/target.go
+++ b/lib/bffleet/target.go
@@ -12,7 +12,9 @@
 //
 // It is safe for concurrent use.
 type Target struct {
-	member   Member
+	member Member
+	// start is what is known of this start of the target, also across changes of the member.
+	start    *startState
 	inFlight atomic.Int32
 	// lastLoad is the last reported load, nil before the first report.
 	lastLoad atomic.Pointer[loadReport]
--- a/lib/bfheader/header.go
+++ b/lib/bfheader/header.go
@@ -39,6 +39,8 @@
 	Load = "Bilberry-Load"
 	// Backlog is how long the node's link needs for the long answers in progress, in milliseconds.
 	Backlog = "Bilberry-Backlog"
+	// TargetLimit is the limit that the target has named, in requests per second.
+	TargetLimit = "Bilberry-Target-Limit"
 	// Track is the target's recent share of failures and run time.
 	Track = "Bilberry-Track"
 	// Version is set if the entry chose the target for the version of its software.
--- a/lib/bfhost/host.go
+++ b/lib/bfhost/host.go
@@ -170,9 +170,10 @@
 	return !h.config.AdmitsVersion(target.Version(), policy.ChosenVersion) || policy.Trial && !target.isWarm(h.config.Timer.Now())
 }
 
-// Run sends a job to the target, once a slot is free, and reads the answer.
+// Run sends a job to the target, once its limit and a free slot allow it, and reads the answer.
 func (h *Host) Run(ctx context.Context, job Job) Result {
-	if _, refused := h.usableTarget(job.Policy); refused != nil {
+	target, refused := h.usableTarget(job.Policy)
+	if refused != nil {
 		return refused
 	}
 	request := h.newQuarantineRequest(job)
@@ -180,36 +181,50 @@
 		return flightRefusal(err)
 	}
 	arrived := h.config.Timer.Now()
+	permit, refused := h.awaitPermit(ctx, target, job)
+	if refused != nil {
+		return refused
+	}
+	result, sent := h.runPermitted(ctx, job, request, arrived)
+	if !sent {
+		h.cancelPermit(permit)
+	}
+	return result
+}
+
+// runPermitted sends a job that the target's limit allows, once a slot is free; sent is false if it
+// did not reach the point of sending.
+func (h *Host) runPermitted(ctx context.Context, job Job, request bfquarantine.Request, arrived time.Time) (result Result, sent bool) {
 	slot, err := h.gate.Acquire(ctx, bfslot.Request{
 		Class: job.Policy.Class, Nested: job.Policy.Nested, Late: job.Policy.Late, Rank: job.Policy.Rank, MaxWait: job.Policy.MaxSlotWait,
 	})
 	var full *bfslot.FullError
 	switch {
 	case errors.As(err, &full):
-		return Refused{Reason: Full, RetryAfter: full.RetryAfter}
+		return Refused{Reason: Full, RetryAfter: full.RetryAfter}, false
 	case err != nil:
-		return Expired{}
+		return Expired{}, false
 	}
 	// The target may have begun to drain while the request waited.
 	target, refused := h.usableTarget(job.Policy)
 	if refused != nil {
 		slot.Release()
-		return refused
+		return refused, false
 	}
 	// The request may have crashed other targets while it waited.
 	flight, err := h.flights.Begin(flightTarget{h, target}, job.Request.ID, request)
 	if err != nil {
 		slot.Release()
-		return flightRefusal(err)
+		return flightRefusal(err), false
 	}
 	run, ok := h.config.Account.Begin(job.Policy.Class, job.Policy.origin())
 	if !ok {
 		flight.End()
 		slot.Release()
-		return Refused{Reason: OverBudget}
+		return Refused{Reason: OverBudget}, false
 	}
 	h.beginRun(job, run)
-	result := h.sendToTarget(ctx, job, dispatch{target, flight}, func() {
+	result = h.sendToTarget(ctx, job, dispatch{target, flight}, func() {
 		h.endRun(job, run)
 		flight.End()
 		slot.Release()
@@ -221,7 +236,7 @@
 			Wait: flight.Began().Sub(arrived), Run: h.config.Timer.Now().Sub(flight.Began()), Warm: target.isWarm(flight.Began()),
 		}
 	}
-	return result
+	return result, true
 }
 
 // nestedSeparator separates the parent's request ID from the suffix of a nested call's ID.
--- a/lib/bfhost/inbound.go
+++ b/lib/bfhost/inbound.go
@@ -36,8 +36,9 @@
 		return
 	}
 	result := i.run(r.Context(), job)
-	used, slots := i.host.Load()
+	used, slots, limit := i.host.Capacity()
 	WriteLoad(w.Header(), used, slots)
+	WriteLimit(w.Header(), limit)
 	WriteBacklog(w.Header(), i.pacer.Backlog())
 	WriteHealth(w.Header(), i.host.Health(job.Policy.Class))
 	if i.host.Leaving() {
@@ -79,9 +80,10 @@
 	if err != nil {
 		return Job{}, err
 	}
+	known := ReadLimit(r.Header)
 	bfheader.Strip(request.Header)
 	return Job{
-		Request: request, Policy: policy,
+		Request: request, Policy: policy, KnownLimit: known,
 		Deadline: i.host.config.Timer.Now().Add(time.Duration(left) * time.Millisecond),
 	}, nil
 }
--- a/lib/bfhost/job.go
+++ b/lib/bfhost/job.go
@@ -8,6 +8,7 @@
 
 	"bilberryflow.org/lib/bfbudget"
 	"bilberryflow.org/lib/bfexchange"
+	"bilberryflow.org/lib/bflimit"
 )
 
 // Job is one request for the target, with its deadline and policy.
@@ -15,6 +16,8 @@
 	Request  *bfexchange.Request
 	Deadline time.Time
 	Policy   Policy
+	// KnownLimit is the target's limit as the entry knows it, nil for none.
+	KnownLimit bflimit.Statement
 }
 
 // Policy states how the target's node handles a request: its statistics, priority, retry budget
@@ -68,6 +71,8 @@
 const (
 	// Full means that no slot became free in time.
 	Full Reason = "full"
+	// Limited means that the target gets no more requests by the limit that it has named.
+	Limited Reason = "limited"
 	// Leaving means that the target or its node accepts no new requests.
 	Leaving Reason = "leaving"
 	// NoTarget means that the node has no target of the service.
@@ -87,6 +92,9 @@
 	Quarantined Reason = "quarantined"
 )
 
+// LacksCapacity reports whether a refusal for the reason depends on the target's current load only.
+func (r Reason) LacksCapacity() bool { return r == Full || r == Limited }
+
 // Refused means that the request has not run and will not run due to this send.
 type Refused struct {
 	Reason     Reason
--- a/lib/bfslot/gate.go
+++ b/lib/bfslot/gate.go
@@ -47,6 +47,13 @@
 	return g.queue.MeanHold(class)
 }
 
+// OverallMeanHold returns how long a request of any class is expected to hold a slot.
+func (g *Gate) OverallMeanHold() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.OverallMeanHold()
+}
+
 // Slot is a slot held by one request until Release.
 type Slot struct {
 	gate  *Gate
--- a/lib/bfslot/queue.go
+++ b/lib/bfslot/queue.go
@@ -63,6 +63,9 @@
 // before the first one has released its slot.
 func (q *Queue) MeanHold(class string) time.Duration { return q.meanHoldByClass[class] }
 
+// OverallMeanHold returns how long a request of any class is expected to hold a slot.
+func (q *Queue) OverallMeanHold() time.Duration { return cmp.Or(q.meanHold, defaultHold) }
+
 // Enter gives the request a slot and returns nil, or returns a ticket if it has to wait.
 // Its error is FullError.
 //
@@ -151,8 +154,7 @@
 
 // expectedWait returns the time until a request with that many ahead of it gets a slot.
 func (q *Queue) expectedWait(ahead int) time.Duration {
-	held := cmp.Or(q.meanHold, defaultHold)
-	return held * time.Duration(1+ahead) / time.Duration(max(q.slots, 1))
+	return q.OverallMeanHold() * time.Duration(1+ahead) / time.Duration(max(q.slots, 1))
 }
 
 // Resize sets the number of slots, and returns the waiting requests that got one.
