--- /dev/null
+++ b/bftrial/internal/bfproxy/doc.go
@@ -0,0 +1,2 @@
+// Package bfproxy injects network faults between two processes on one machine.
+package bfproxy
--- a/bftrial/internal/bfsoak/proxy.go
+++ b/bftrial/internal/bfproxy/proxy.go
@@ -1,4 +1,4 @@
-package bfsoak
+package bfproxy
 
 import (
 	"context"
@@ -12,22 +12,22 @@
 	"bilberryflow.org/lib/bfgroup"
 )
 
-// proxyMode selects how a proxy treats connections and data.
-type proxyMode int32
+// Mode selects how a proxy treats connections and data.
+type Mode int32
 
 const (
-	// pass forwards data in both directions.
-	pass proxyMode = iota
-	// silent accepts connections and discards data in both directions.
-	silent
-	// oneWay forwards requests and discards responses.
-	oneWay
-	// refuse resets new connections.
-	refuse
+	// Pass forwards data in both directions.
+	Pass Mode = iota
+	// Silent accepts connections and discards data in both directions.
+	Silent
+	// OneWay forwards requests and discards responses.
+	OneWay
+	// Refuse resets new connections.
+	Refuse
 )
 
-// proxy is a TCP proxy for one loopback address that injects network faults.
-type proxy struct {
+// Proxy is a TCP proxy for one loopback address that injects network faults.
+type Proxy struct {
 	listener net.Listener
 	upstream string
 	group    *bfgroup.Group
@@ -38,12 +38,13 @@
 	conns map[*net.TCPConn]bool
 }
 
-func newProxy(group *bfgroup.Group, to string) (*proxy, error) {
+// New starts a proxy for an address in a group.
+func New(group *bfgroup.Group, to string) (*Proxy, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, upstream: to, group: group, conns: map[*net.TCPConn]bool{}}
+	p := &Proxy{listener: listener, upstream: to, group: group, conns: map[*net.TCPConn]bool{}}
 	group.Go("proxy", func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { listener.Close() })
 		defer stop()
@@ -53,15 +54,17 @@
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+// Address returns the host and port at which the proxy accepts connections.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
-func (p *proxy) set(mode proxyMode, delay time.Duration) {
+// Set changes the mode and the delay of each piece of data.
+func (p *Proxy) Set(mode Mode, delay time.Duration) {
 	p.delay.Store(int64(delay))
 	p.mode.Store(int32(mode))
 }
 
-// reset closes every open connection with a TCP reset.
-func (p *proxy) reset() {
+// Reset closes every open connection with a TCP reset.
+func (p *Proxy) Reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
@@ -70,21 +73,21 @@
 	}
 }
 
-// close stops the proxy like a crash of the process behind it: open connections are reset
+// Close stops the proxy like a crash of the process behind it: open connections are reset
 // and new ones are refused.
-func (p *proxy) close() {
+func (p *Proxy) Close() {
 	p.listener.Close()
-	p.reset()
+	p.Reset()
 }
 
-func (p *proxy) accept() {
+func (p *Proxy) accept() {
 	for {
 		accepted, err := p.listener.Accept()
 		if err != nil {
 			return
 		}
 		c := accepted.(*net.TCPConn)
-		if proxyMode(p.mode.Load()) == refuse {
+		if Mode(p.mode.Load()) == Refuse {
 			_ = c.SetLinger(0)
 			c.Close()
 			continue
@@ -96,7 +99,7 @@
 	}
 }
 
-func (p *proxy) forward(ctx context.Context, from *net.TCPConn) {
+func (p *Proxy) forward(ctx context.Context, from *net.TCPConn) {
 	defer from.Close()
 	opened, err := net.Dial("tcp", p.upstream)
 	if err != nil {
@@ -120,12 +123,12 @@
 }
 
 // copyData forwards data until either side closes; data received in silent mode is discarded.
-func (p *proxy) copyData(to, from *net.TCPConn, response bool) {
+func (p *Proxy) copyData(to, from *net.TCPConn, response bool) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
-		mode := proxyMode(p.mode.Load())
-		if n > 0 && (mode == silent || mode == oneWay && response) {
+		mode := Mode(p.mode.Load())
+		if n > 0 && (mode == Silent || mode == OneWay && response) {
 			continue
 		}
 		time.Sleep(time.Duration(p.delay.Load()))
@@ -147,7 +150,7 @@
 	}
 }
 
-func (p *proxy) track(conns ...*net.TCPConn) {
+func (p *Proxy) track(conns ...*net.TCPConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range conns {
@@ -155,7 +158,7 @@
 	}
 }
 
-func (p *proxy) untrack(conns ...*net.TCPConn) {
+func (p *Proxy) untrack(conns ...*net.TCPConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range conns {
--- a/bftrial/internal/bfsoak/check.go
+++ b/bftrial/internal/bfsoak/check.go
@@ -66,17 +66,15 @@
 	}
 	h.checkQuarantine()
 	h.checkLimits()
-	h.runLog.mu.Lock()
-	defer h.runLog.mu.Unlock()
-	for incarnation, left := range h.runLog.departed {
-		if last := h.runLog.lastRun[incarnation]; last.Sub(left) > maxDrainDelay {
-			h.addViolation("target %s started a request %v after its departure was acknowledged", incarnation, last.Sub(left))
+	for incarnation, late := range h.runLog.LateRuns() {
+		if late > maxDrainDelay {
+			h.addViolation("target %s started a request %v after its departure was acknowledged", incarnation, late)
 		}
 	}
 }
 
 func (h *harness) checkOutcome(o outcome) {
-	runs := h.runLog.runCount(o.id)
+	runs := h.runLog.RunCount(o.id)
 	calm := !o.node.hadFault(o.began, o.ended, false)
 	switch {
 	case o.mismatch != "":
--- a/bftrial/internal/bfsoak/crashing.go
+++ b/bftrial/internal/bfsoak/crashing.go
@@ -6,7 +6,10 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
+
+	"bilberryflow.org/bftrial/internal/bfrunlog"
 )
 
 const (
@@ -35,6 +38,21 @@
 	node         *nodeSlot
 }
 
+// crashLog records the runs of crashing requests by content ID.
+type crashLog struct {
+	mu        sync.Mutex
+	byContent map[string][]crashingRun
+}
+
+func (l *crashLog) record(content string, run crashingRun) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.byContent == nil {
+		l.byContent = map[string][]crashingRun{}
+	}
+	l.byContent[content] = append(l.byContent[content], run)
+}
+
 // crashingContent returns the content ID of a path that crashes targets, or "" for other paths.
 func crashingContent(path string) string {
 	_, content, _ := strings.Cut(path, "/"+crashingPrefix)
@@ -84,7 +102,7 @@
 		h.checkError("restart", h.fleet.RestartMeshNode(n.process))
 	}
 	for _, n := range h.allNodes() {
-		n.addFaultPeriod(faultPeriod{began, time.Now(), false})
+		n.periods.Add(bfrunlog.FaultPeriod{From: began, To: time.Now()})
 		n.mu.Unlock()
 	}
 }
@@ -113,12 +131,10 @@
 func (t *incarnation) crash(content string) {
 	began := time.Now()
 	time.Sleep(crashAfter)
-	t.runLog.mu.Lock()
-	t.runLog.crashing[content] = append(t.runLog.crashing[content], crashingRun{began: began, ended: time.Now(), node: t.node})
-	t.runLog.mu.Unlock()
+	t.crashes.record(content, crashingRun{began: began, ended: time.Now(), node: t.node})
 	t.endOnce.Do(func() {
 		t.state.Store(0)
-		t.proxy.close()
+		t.proxy.Close()
 		t.server.Close()
 		t.crashed()
 	})
@@ -127,7 +143,7 @@
 
 // startTarget starts a node's target of a version, and restarts it after a crash.
 func (h *harness) startTarget(n *nodeSlot, version string) (*incarnation, error) {
-	return startTarget(h.group, h.runLog, n, version, func(t *incarnation) {
+	return startTarget(h.group, h.runLog, &h.crashes, n, version, func(t *incarnation) {
 		h.group.Go("restart a target", func(context.Context) error {
 			time.Sleep(minRestartDelay + time.Duration(rand.Int64N(int64(minRestartDelay))))
 			n.targetMu.Lock()
@@ -147,16 +163,16 @@
 
 // checkQuarantine checks that crashing requests stop running once they should be quarantined.
 func (h *harness) checkQuarantine() {
-	h.runLog.mu.Lock()
-	defer h.runLog.mu.Unlock()
-	for content, runs := range h.runLog.crashing {
+	h.crashes.mu.Lock()
+	defer h.crashes.mu.Unlock()
+	for content, runs := range h.crashes.byContent {
 		if len(runs) < quarantineThreshold {
 			continue
 		}
 		quarantinedAt := runs[quarantineThreshold-1].ended.Add(quarantineDelay)
 		late := 0
 		for _, run := range runs {
-			if run.began.After(quarantinedAt) && !run.node.hadAnyFault(run.began.Add(-quarantineDelay), run.began) {
+			if run.began.After(quarantinedAt) && !run.node.periods.Any(run.began.Add(-quarantineDelay), run.began) {
 				late++
 			}
 		}
--- a/bftrial/internal/bfsoak/faults.go
+++ b/bftrial/internal/bfsoak/faults.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bilberryflow.org/bftrial/internal/bffleet"
+	"bilberryflow.org/bftrial/internal/bfproxy"
 )
 
 // stopLimit exceeds the nodes' configured grace period.
@@ -26,9 +27,9 @@
 	{"kill", (*harness).killNode},
 	{"pause", (*harness).pauseNode},
 	{"hang up", (*harness).sendHangUp},
-	{"store silent for a node", storeFault(silent)},
-	{"store one way for a node", storeFault(oneWay)},
-	{"store refuses a node", storeFault(refuse)},
+	{"store silent for a node", storeFault(bfproxy.Silent)},
+	{"store one way for a node", storeFault(bfproxy.OneWay)},
+	{"store refuses a node", storeFault(bfproxy.Refuse)},
 	{"store down", platformFault("down")},
 	{"store silent", platformFault("silent")},
 	{"store slow", platformFault("slow")},
@@ -36,7 +37,7 @@
 	{"store writes late", platformFault("late-writes")},
 	{"store drops history", (*harness).dropHistory},
 	{storeRestored, (*harness).restoreStore},
-	{"target silent", targetFault(silent)},
+	{"target silent", targetFault(bfproxy.Silent)},
 	{"target reset", (*harness).resetTarget},
 	{"target slow", (*harness).slowTarget},
 	{"target loses answers", (*harness).loseResponses},
@@ -191,17 +192,17 @@
 	h.storeFaultEnd = time.Now()
 }
 
-func storeFault(mode proxyMode) func(*harness, *nodeSlot, time.Duration) {
+func storeFault(mode bfproxy.Mode) func(*harness, *nodeSlot, time.Duration) {
 	return func(h *harness, n *nodeSlot, length time.Duration) {
 		h.withStoreFault(func() {
-			n.store.set(mode, 0)
-			if mode == refuse {
-				n.store.reset()
+			n.store.Set(mode, 0)
+			if mode == bfproxy.Refuse {
+				n.store.Reset()
 			}
 			time.Sleep(length)
-			n.store.set(pass, 0)
+			n.store.Set(bfproxy.Pass, 0)
 			// A silent proxy discards data, so its connections can't be resumed.
-			n.store.reset()
+			n.store.Reset()
 		})
 	}
 }
@@ -241,26 +242,26 @@
 	n.withFault(false, func() { fault(n.target) })
 }
 
-func targetFault(mode proxyMode) func(*harness, *nodeSlot, time.Duration) {
+func targetFault(mode bfproxy.Mode) func(*harness, *nodeSlot, time.Duration) {
 	return func(_ *harness, n *nodeSlot, length time.Duration) {
 		n.withTargetFault(func(t *incarnation) {
-			t.proxy.set(mode, 0)
+			t.proxy.Set(mode, 0)
 			time.Sleep(length)
-			t.proxy.set(pass, 0)
-			t.proxy.reset()
+			t.proxy.Set(bfproxy.Pass, 0)
+			t.proxy.Reset()
 		})
 	}
 }
 
 func (h *harness) resetTarget(n *nodeSlot, _ time.Duration) {
-	n.withTargetFault(func(t *incarnation) { t.proxy.reset() })
+	n.withTargetFault(func(t *incarnation) { t.proxy.Reset() })
 }
 
 func (h *harness) slowTarget(n *nodeSlot, length time.Duration) {
 	n.withTargetFault(func(t *incarnation) {
-		t.proxy.set(pass, 150*time.Millisecond)
+		t.proxy.Set(bfproxy.Pass, 150*time.Millisecond)
 		time.Sleep(length)
-		t.proxy.set(pass, 0)
+		t.proxy.Set(bfproxy.Pass, 0)
 	})
 }
 
--- a/bftrial/internal/bfsoak/harness.go
+++ b/bftrial/internal/bfsoak/harness.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"bilberryflow.org/bftrial/internal/bffleet"
+	"bilberryflow.org/bftrial/internal/bfproxy"
+	"bilberryflow.org/bftrial/internal/bfrunlog"
 	"bilberryflow.org/lib/bfgroup"
 	"bilberryflow.org/lib/bftraffic"
 	"bilberryflow.org/platform/bfdialect"
@@ -39,45 +41,19 @@
 	// mu serializes faults of the process.
 	mu      sync.Mutex
 	process *bffleet.MeshNode
-	store   *proxy
+	store   *bfproxy.Proxy
 	ready   atomic.Bool
 
 	targetMu sync.Mutex
 	target   *incarnation
 
-	periodsMu sync.Mutex
-	periods   []faultPeriod
-}
-
-// faultPeriod is a period with a fault of the node or its target.
-type faultPeriod struct {
-	from, to time.Time
-	// planned marks maintenance, which must not fail a request that has run.
-	planned bool
+	periods bfrunlog.FaultPeriods
 }
 
 func (n *nodeSlot) withFault(planned bool, fault func()) {
 	began := time.Now()
 	fault()
-	n.addFaultPeriod(faultPeriod{began, time.Now(), planned})
-}
-
-func (n *nodeSlot) addFaultPeriod(p faultPeriod) {
-	n.periodsMu.Lock()
-	defer n.periodsMu.Unlock()
-	n.periods = append(n.periods, p)
-}
-
-// hadAnyFault reports whether the node had any fault between two times.
-func (n *nodeSlot) hadAnyFault(from, to time.Time) bool {
-	n.periodsMu.Lock()
-	defer n.periodsMu.Unlock()
-	for _, p := range n.periods {
-		if from.Before(p.to) && to.After(p.from) {
-			return true
-		}
-	}
-	return false
+	n.periods.Add(bfrunlog.FaultPeriod{From: began, To: time.Now(), Planned: planned})
 }
 
 // settleTime is how long the effects of a fault may last after it ends.
@@ -86,14 +62,7 @@
 // hadFault reports whether the node had a planned or unplanned fault between two times,
 // or less than settleTime before.
 func (n *nodeSlot) hadFault(from, to time.Time, planned bool) bool {
-	n.periodsMu.Lock()
-	defer n.periodsMu.Unlock()
-	for _, p := range n.periods {
-		if p.planned == planned && from.Before(p.to.Add(settleTime)) && to.After(p.from) {
-			return true
-		}
-	}
-	return false
+	return n.periods.Settling(from, to, planned, settleTime)
 }
 
 // harness is the state of one soak.
@@ -106,7 +75,8 @@
 	// nodes is replaced, never changed, under nodesMu.
 	nodesMu  sync.Mutex
 	nodes    []*nodeSlot
-	runLog   *runLog
+	runLog   *bfrunlog.Log
+	crashes  crashLog
 	outcomes outcomeLog
 	// crashing is held while a crashing request is being sent.
 	crashing sync.Mutex
@@ -144,7 +114,7 @@
 	}
 	h := &harness{
 		options: options, rand: rand.New(rand.NewPCG(options.Seed, options.Seed)), out: out, fleet: fleet,
-		group: bfgroup.New(context.Background()), runLog: newRunLog(),
+		group: bfgroup.New(context.Background()), runLog: bfrunlog.New(),
 		committed: map[bftraffic.Version]time.Time{}, seen: map[*bffleet.Process]bftraffic.Version{},
 	}
 	defer func() {
@@ -182,13 +152,13 @@
 
 // startNodeWith starts a node with a target of a version that fails a share of its runs.
 func (h *harness) startNodeWith(i int, version string, failedPercent int32) error {
-	store, err := newProxy(h.group, h.fleet.StoreAddress())
+	store, err := bfproxy.New(h.group, h.fleet.StoreAddress())
 	if err != nil {
 		return err
 	}
 	process, err := h.fleet.StartMeshNode(bffleet.MeshSettings{
 		Instance: fmt.Sprintf("n%d", i), FailureDomain: fmt.Sprintf("zone-%d", i%3), Service: "vault",
-	}, store.address())
+	}, store.Address())
 	if err != nil {
 		return err
 	}
--- a/bftrial/internal/bfsoak/readers.go
+++ b/bftrial/internal/bfsoak/readers.go
@@ -7,6 +7,9 @@
 	"net/http"
 	"slices"
 	"time"
+
+	"bilberryflow.org/bftrial/internal/bfproxy"
+	"bilberryflow.org/bftrial/internal/bfrunlog"
 )
 
 // readersSilenced is the name of the scenario in which the store answers all nodes but those that
@@ -27,8 +30,8 @@
 	time.Sleep(startSettleTime)
 	readers := h.awaitFewReaders()
 	for _, n := range readers {
-		n.addFaultPeriod(faultPeriod{from: time.Now(), to: time.Now().Add(length)})
-		n.store.set(silent, 0)
+		n.periods.Add(bfrunlog.FaultPeriod{From: time.Now(), To: time.Now().Add(length)})
+		n.store.Set(bfproxy.Silent, 0)
 		fmt.Fprintf(h.out, "%s reads the store\n", n.process.Settings().Instance)
 	}
 	written := time.Now()
@@ -49,8 +52,8 @@
 	time.Sleep(time.Until(written.Add(length)))
 	h.withStoreFault(func() {
 		for _, n := range readers {
-			n.store.set(pass, 0)
-			n.store.reset()
+			n.store.Set(bfproxy.Pass, 0)
+			n.store.Reset()
 		}
 	})
 }
--- a/bftrial/internal/bfsoak/rollout.go
+++ b/bftrial/internal/bfsoak/rollout.go
@@ -42,9 +42,9 @@
 // rollOutBadVersion orders a bad version, which must be withdrawn and receive no more requests.
 func (h *harness) rollOutBadVersion(_ *nodeSlot, length time.Duration) {
 	h.rollOut(length, failedPercent, bfrollout.RolledBack)
-	after := h.runLog.versionCount(newVersion)
+	after := h.runLog.VersionCount(newVersion)
 	time.Sleep(time.Second)
-	if later := h.runLog.versionCount(newVersion); later != after {
+	if later := h.runLog.VersionCount(newVersion); later != after {
 		h.addViolation("%d requests ran on a version that was rolled back", later-after)
 	}
 }
@@ -54,7 +54,7 @@
 func (h *harness) rollOut(length time.Duration, failedPercent int32, want bfrollout.State) {
 	order, err := bfdialect.EncodeRolloutOrder(bfrollout.Order{Service: service, Version: newVersion, Duration: length})
 	h.checkError("order", err)
-	oldBefore, newBefore := h.runLog.versionCount(oldVersion), h.runLog.versionCount(newVersion)
+	oldBefore, newBefore := h.runLog.VersionCount(oldVersion), h.runLog.VersionCount(newVersion)
 	h.checkError("order", h.fleet.OrderRollout(service, order))
 	began := time.Now()
 	for i, before := 0, len(h.allNodes()); i < before; i++ {
@@ -70,7 +70,7 @@
 	if want == bfrollout.Completed {
 		return
 	}
-	old, exposed := h.runLog.versionCount(oldVersion)-oldBefore, h.runLog.versionCount(newVersion)-newBefore
+	old, exposed := h.runLog.VersionCount(oldVersion)-oldBefore, h.runLog.VersionCount(newVersion)-newBefore
 	if float64(exposed) > maxExposedShare*float64(old+exposed)+maxExposedSlack {
 		h.addViolation("%d of %d requests ran on a bad version", exposed, old+exposed)
 	}
@@ -91,10 +91,3 @@
 	}
 	return state
 }
-
-// versionCount returns the number of runs on targets of a version.
-func (l *runLog) versionCount(version string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.versionRuns[version]
-}
--- a/bftrial/internal/bfsoak/target.go
+++ b/bftrial/internal/bfsoak/target.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"bilberryflow.org/bftrial/internal/bfproxy"
+	"bilberryflow.org/bftrial/internal/bfrunlog"
 	"bilberryflow.org/lib/bfgroup"
 	"bilberryflow.org/lib/bfhost"
 	"bilberryflow.org/platform/bfdialect"
@@ -23,53 +25,6 @@
 // signatureHeader is the header that identifies a response written by a target.
 const signatureHeader = bfdialect.SignatureHeader
 
-// runLog records the runs of all targets.
-type runLog struct {
-	mu sync.Mutex
-	// runs counts the runs of each request.
-	runs map[string]int
-	// versionRuns counts the runs by version of the target.
-	versionRuns map[string]int
-	// lastRun is when each incarnation last started running a request.
-	lastRun map[string]time.Time
-	// departed is when the departure of an incarnation was acknowledged.
-	departed map[string]time.Time
-	// limits holds the limits and the arrivals of each incarnation.
-	limits map[string]*limitLog
-	// crashing holds the runs of crashing requests by content ID.
-	crashing map[string][]crashingRun
-}
-
-func newRunLog() *runLog {
-	return &runLog{runs: map[string]int{}, versionRuns: map[string]int{}, lastRun: map[string]time.Time{}, departed: map[string]time.Time{}, limits: map[string]*limitLog{}, crashing: map[string][]crashingRun{}}
-}
-
-func (l *runLog) recordRun(id, incarnation, version string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.runs[id]++
-	l.versionRuns[version]++
-	l.lastRun[incarnation] = time.Now()
-}
-
-func (l *runLog) addIncarnation(t *incarnation) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.limits[t.id] = t.limits
-}
-
-func (l *runLog) runCount(id string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.runs[id]
-}
-
-func (l *runLog) recordDeparture(incarnation string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.departed[incarnation] = time.Now()
-}
-
 // service is the name of the service of all targets.
 const service = "vault"
 
@@ -79,9 +34,10 @@
 // incarnation is one life of a target, from its start to its stop or crash.
 type incarnation struct {
 	id       string
-	runLog   *runLog
+	runLog   *bfrunlog.Log
+	crashes  *crashLog
 	server   *http.Server
-	proxy    *proxy
+	proxy    *bfproxy.Proxy
 	reports  bfdialect.ReportSender
 	service  string
 	version  string
@@ -96,7 +52,7 @@
 	lostPercent, duplicatedPercent atomic.Int32
 	// failedPercent is the percentage of runs that end with an error.
 	failedPercent atomic.Int32
-	limits        *limitLog
+	limits        *bfrunlog.Limits
 	// nests has a part of the runs make a nested call.
 	nests atomic.Bool
 }
@@ -104,22 +60,21 @@
 var incarnations atomic.Int64
 
 // startTarget starts a new incarnation at a node.
-func startTarget(group *bfgroup.Group, log *runLog, node *nodeSlot, version string, crashed func(*incarnation)) (*incarnation, error) {
+func startTarget(group *bfgroup.Group, log *bfrunlog.Log, crashes *crashLog, node *nodeSlot, version string, crashed func(*incarnation)) (*incarnation, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p, err := newProxy(group, listener.Addr().String())
+	p, err := bfproxy.New(group, listener.Addr().String())
 	if err != nil {
 		return nil, err
 	}
 	t := &incarnation{
-		id: fmt.Sprintf("i-%d", incarnations.Add(1)), runLog: log, proxy: p, service: service, node: node, version: version,
-		limits:  &limitLog{},
+		id: fmt.Sprintf("i-%d", incarnations.Add(1)), runLog: log, crashes: crashes, proxy: p, service: service, node: node, version: version,
 		reports: bfdialect.ReportSender{NodeAddress: node.process.Settings().Listen.Target, Client: &http.Client{Timeout: time.Second}},
 	}
 	t.crashed = func() { crashed(t) }
-	log.addIncarnation(t)
+	t.limits = log.AddIncarnation(t.id)
 	t.state.Store(int32(bfhost.Ready))
 	t.server = &http.Server{Handler: t}
 	group.Go("target", func(context.Context) error {
@@ -136,11 +91,11 @@
 	for ctx.Err() == nil && t.state.Load() != 0 {
 		state := bfhost.State(t.state.Load())
 		err := t.reports.SendHeartbeat(ctx, bfhost.Heartbeat{
-			Incarnation: t.id, Sequence: t.sequence.Add(1), Service: t.service, Address: t.proxy.address(),
+			Incarnation: t.id, Sequence: t.sequence.Add(1), Service: t.service, Address: t.proxy.Address(),
 			Slots: targetSlots, State: state, Version: t.version,
 		})
 		if err == nil && state == bfhost.Draining {
-			t.runLog.recordDeparture(t.id)
+			t.runLog.RecordDeparture(t.id)
 			return nil
 		}
 		time.Sleep(heartbeatInterval)
@@ -157,15 +112,15 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	t.limits.recordArrival()
-	t.limits.writeLimit(w.Header())
+	t.limits.RecordArrival()
+	t.writeLimit(w.Header())
 	defer t.inFlight.Add(-1)
 	if t.inFlight.Add(1) > targetSlots {
 		w.Header().Set(headers.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	t.runLog.recordRun(id, t.id, t.version)
+	t.runLog.RecordRun(id, t.id, t.version)
 	if content := crashingContent(r.URL.Path); content != "" {
 		t.crash(content)
 	}
@@ -189,6 +144,13 @@
 	}
 }
 
+// writeLimit names the limit in an answer.
+func (t *incarnation) writeLimit(header http.Header) {
+	if perSecond := t.limits.Current(); perSecond > 0 {
+		header.Set(headers.Limit, strconv.FormatFloat(perSecond, 'f', -1, 64))
+	}
+}
+
 // nestedSuffix follows the ID of a run in the ID of its nested call.
 const nestedSuffix = ".n"
 
@@ -243,7 +205,7 @@
 	} else {
 		t.state.Store(0)
 		if t.reports.SendDeparture(ctx, bfhost.Departure{Incarnation: t.id}) == nil {
-			t.runLog.recordDeparture(t.id)
+			t.runLog.RecordDeparture(t.id)
 		}
 	}
 	time.Sleep(2500 * time.Millisecond)
--- a/bftrial/internal/bfsoak/trace_test.go
+++ b/bftrial/internal/bfsoak/trace_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"bilberryflow.org/bftrial/internal/bffleet"
+	"bilberryflow.org/bftrial/internal/bfproxy"
+	"bilberryflow.org/bftrial/internal/bfrunlog"
 	"bilberryflow.org/lib/bfgroup"
 	"bilberryflow.org/lib/bftraffic"
 )
@@ -34,7 +36,7 @@
 		t.Fatal(err)
 	}
 	h := &harness{
-		options: Options{Nodes: nodes, Binaries: binaries}, out: io.Discard, fleet: fleet, group: bfgroup.New(context.Background()), runLog: newRunLog(),
+		options: Options{Nodes: nodes, Binaries: binaries}, out: io.Discard, fleet: fleet, group: bfgroup.New(context.Background()), runLog: bfrunlog.New(),
 		committed: map[bftraffic.Version]time.Time{}, seen: map[*bffleet.Process]bftraffic.Version{},
 	}
 	t.Cleanup(func() {
@@ -107,7 +109,7 @@
 // of targets tried, and the retry time sent to the caller.
 func TestTraceOfARefusedRequest(t *testing.T) {
 	h := newHarness(t, 1)
-	h.allNodes()[0].target.proxy.set(pass, 400*time.Millisecond)
+	h.allNodes()[0].target.proxy.Set(bfproxy.Pass, 400*time.Millisecond)
 	for range targetSlots {
 		h.group.Go("spike", func(ctx context.Context) error {
 			h.sendRequest(ctx, &http.Client{}, h.allNodes()[0], false, "vault")
@@ -128,7 +130,7 @@
 	h := newHarness(t, 2)
 	entry, killed := h.allNodes()[0], h.allNodes()[1]
 	entry.target.stop(context.Background(), true)
-	killed.target.proxy.set(pass, 400*time.Millisecond)
+	killed.target.proxy.Set(bfproxy.Pass, 400*time.Millisecond)
 	outcomes := make(chan outcome, 1)
 	h.group.Go("approval", func(ctx context.Context) error {
 		outcomes <- h.sendRequest(ctx, &http.Client{}, entry, false, "vault")
@@ -149,7 +151,7 @@
 // was spent.
 func TestTraceOfALateRequest(t *testing.T) {
 	h := newHarness(t, 1)
-	h.allNodes()[0].target.proxy.set(pass, 250*time.Millisecond)
+	h.allNodes()[0].target.proxy.Set(bfproxy.Pass, 250*time.Millisecond)
 	for responseBody(nextID()) != "answer to "+nextID()+"\n" {
 		requests.Add(1) // the proxy delays each chunk, so a long response would exceed the route's timeout
 	}
