--- a/bftrial/internal/bfcommand/command.go
+++ b/bftrial/internal/bfcommand/command.go
@@ -42,6 +42,7 @@
 	seed      int
 	runs      int
 	only      string
+	limits    bool
 	fleet     int
 	domains   int
 	targets   int
@@ -87,6 +88,7 @@
 	soak.Int(&a.runs, "r", "runs", "Number of consecutive seeds to run.")
 	soak.Int(&a.seconds, "t", "seconds", "Length of the fault injection, in seconds.")
 	soak.Int(&a.fleet, "n", "nodes", "Number of nodes.")
+	soak.Bool(&a.limits, "l", "limits", "Also have targets name limits, and that they leave, in their answers.")
 	soak.String(&a.only, "o", "only", "Name of a single scenario to run instead of random faults.")
 	replay := flaggy.NewSubcommand("replay")
 	replay.Description = "Replays a load through the admission and routing code in simulated time, with the same arrivals for each variant."
@@ -147,7 +149,7 @@
 		var log bytes.Buffer
 		violations, err := bfsoak.Run(bfsoak.Options{
 			Binaries: a.binaries, Seed: uint64(seed), Nodes: a.fleet, Callers: 4 * a.fleet,
-			Faults: time.Duration(a.seconds) * time.Second, Crashing: true, Only: a.only,
+			Faults: time.Duration(a.seconds) * time.Second, Crashing: true, Limits: a.limits, Only: a.only,
 		}, &log)
 		if err != nil || len(violations) > 0 {
 			fmt.Fprint(out, log.String())
--- a/bftrial/internal/bfrunlog/log.go
+++ b/bftrial/internal/bfrunlog/log.go
@@ -74,6 +74,13 @@
 	return late
 }
 
+// LastRun returns when an incarnation last started a run, the zero time for never.
+func (l *Log) LastRun(incarnation string) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lastRun[incarnation]
+}
+
 // AllLimits returns the limits of each incarnation.
 func (l *Log) AllLimits() map[string]*Limits {
 	l.mu.Lock()
--- a/bftrial/internal/bfsoak/check.go
+++ b/bftrial/internal/bfsoak/check.go
@@ -66,6 +66,7 @@
 	}
 	h.checkQuarantine()
 	h.checkLimits()
+	h.checkLeavings()
 	for incarnation, late := range h.runLog.LateRuns() {
 		if late > maxDrainDelay {
 			h.addViolation("target %s started a request %v after its departure was acknowledged", incarnation, late)
--- a/bftrial/internal/bfsoak/faults.go
+++ b/bftrial/internal/bfsoak/faults.go
@@ -54,6 +54,9 @@
 // limited is added to faults if Options.Limits is set.
 var limited = fault{"target names a limit", (*harness).nameLimit}
 
+// leavingInAnswers is added likewise.
+var leavingInAnswers = fault{"target leaves by its answers", (*harness).leaveByAnswers}
+
 // scenarios are faults that can be selected by name with Options.Only.
 var scenarios = []fault{
 	crashing,
@@ -62,6 +65,7 @@
 	{badRollout, (*harness).rollOutBadVersion},
 	{readersSilenced, (*harness).silenceReaders},
 	{limitedTargets, (*harness).limitTargets},
+	{leavesInAnswers, (*harness).leaveInTurn},
 }
 
 // runFaults injects overlapping faults while callers send requests.
@@ -96,7 +100,7 @@
 		candidates = append(slices.Clone(candidates), crashing)
 	}
 	if h.options.Limits {
-		candidates = append(slices.Clone(candidates), limited, limited)
+		candidates = append(slices.Clone(candidates), limited, limited, leavingInAnswers)
 	}
 	began := time.Now()
 	done := make(chan struct{})
--- a/bftrial/internal/bfsoak/harness.go
+++ b/bftrial/internal/bfsoak/harness.go
@@ -30,7 +30,7 @@
 	Faults time.Duration
 	// Crashing adds requests that crash targets to the faults.
 	Crashing bool
-	// Limits adds targets that name limits to the faults.
+	// Limits adds targets that name limits, or that they leave, in their answers to the faults.
 	Limits bool
 	// Only names a single scenario to run instead of random faults.
 	Only string
@@ -90,6 +90,8 @@
 	// seen is the newest version that each process has served.
 	seen       map[*bffleet.Process]bftraffic.Version
 	violations []string
+	// leavings are the targets that said in their answers that they leave.
+	leavings []leaving
 }
 
 // allNodes returns the nodes that have been started.
--- /dev/null
+++ b/bftrial/internal/bfsoak/leaving.go
@@ -0,0 +1,60 @@
+package bfsoak
+
+import (
+	"time"
+
+	"bilberryflow.org/bftrial/internal/bffleet"
+)
+
+// leavesInAnswers is the name of the scenario in which targets say only in their answers that they leave.
+const leavesInAnswers = "targets leave by their answers"
+
+// leaveDelay is how long a target that leaves so serves on before it exits.
+const leaveDelay = 3500 * time.Millisecond
+
+// leaving is a target that says in its answers that it leaves.
+type leaving struct {
+	target *incarnation
+	at     time.Time
+	// process is the node's process at that time.
+	process *bffleet.Process
+}
+
+// leaveByAnswers has a target say in its answers that it leaves, exit after a while and start anew. Its
+// heartbeats don't say so.
+func (h *harness) leaveByAnswers(n *nodeSlot, _ time.Duration) {
+	n.targetMu.Lock()
+	defer n.targetMu.Unlock()
+	n.withFault(true, func() {
+		h.mu.Lock()
+		h.leavings = append(h.leavings, leaving{target: n.target, at: time.Now(), process: n.process.Process()})
+		h.mu.Unlock()
+		n.target.leaving.Store(true)
+		time.Sleep(leaveDelay)
+		n.target.state.Store(0)
+		n.target.server.Close()
+		next, err := h.startTarget(n, n.target.version)
+		h.checkError("start of a target", err)
+		if err == nil {
+			n.target = next
+		}
+	})
+}
+
+// leaveInTurn has the targets of one node after the other leave.
+func (h *harness) leaveInTurn(_ *nodeSlot, length time.Duration) {
+	for began, at := time.Now(), 0; time.Since(began) < length; at++ {
+		h.leaveByAnswers(h.allNodes()[at%len(h.allNodes())], 0)
+	}
+}
+
+// checkLeavings checks that no target ran requests long after it had said that it leaves. A node that
+// was restarted meanwhile does not know it, and may send its own callers' requests.
+func (h *harness) checkLeavings() {
+	for _, l := range h.leavings {
+		late := h.runLog.LastRun(l.target.id).Sub(l.at)
+		if late > maxDrainDelay && l.process == l.target.node.process.Process() {
+			h.addViolation("target %s started a request %v after it said that it leaves", l.target.id, late)
+		}
+	}
+}
--- a/bftrial/internal/bfsoak/soak_test.go
+++ b/bftrial/internal/bfsoak/soak_test.go
@@ -71,6 +71,11 @@
 	soak(t, Options{Binaries: build(t), Seed: 1, Nodes: 6, Callers: 24, Faults: 18 * time.Second, Only: limitedTargets})
 }
 
+// Guards against sending requests to a target that has said only in its answers that it leaves.
+func TestTargetThatLeavesByItsAnswersGetsNoRequests(t *testing.T) {
+	soak(t, Options{Binaries: build(t), Seed: 1, Nodes: 5, Callers: 12, Faults: 7 * time.Second, Only: leavesInAnswers})
+}
+
 // build compiles the programs that a soak runs and returns their directory.
 func build(t *testing.T) string {
 	t.Helper()
--- a/bftrial/internal/bfsoak/target.go
+++ b/bftrial/internal/bfsoak/target.go
@@ -53,6 +53,8 @@
 	// failedPercent is the percentage of runs that end with an error.
 	failedPercent atomic.Int32
 	limits        *bfrunlog.Limits
+	// leaving has the answers say that the target leaves.
+	leaving atomic.Bool
 	// nests has a part of the runs make a nested call.
 	nests atomic.Bool
 }
@@ -114,6 +116,9 @@
 	}
 	t.limits.RecordArrival()
 	t.writeLimit(w.Header())
+	if t.leaving.Load() {
+		w.Header().Set(headers.Leaving, "1")
+	}
 	defer t.inFlight.Add(-1)
 	if t.inFlight.Add(1) > targetSlots {
 		w.Header().Set(headers.NotRun, "1")
