A target that says in its answers that it leaves gets no more requests

Callers' requests went to such a target until it exited: only its heartbeats were read, and those may be late or never say so.

The node beside the target ends new requests with the first such answer, as with a heartbeat that says draining; it holds until another start follows, whatever later heartbeats say. That node forgets it in a restart, and so each entry that passes such an answer on remembers the start of the target, beyond its row. The node names the start in its answer, since the entry's row may already be that of the next one, which must get its requests.

--- a/lib/bfentry/remote.go
+++ b/lib/bfentry/remote.go
@@ -47,6 +47,9 @@
 	if health, ok := bfhost.ReadHealth(from.Header()); ok {
 		c.updateHealth(target, health)
 	}
+	if leaving := bfhost.ReadLeaving(from.Header()); leaving.Incarnation != "" {
+		target.ReportLeaving(leaving.Incarnation, leaving.Started)
+	}
 	if result, ok := bfhost.ReadResult(from.Header()); ok {
 		drain(from)
 		return result
--- a/lib/bffleet/fleet.go
+++ b/lib/bffleet/fleet.go
@@ -176,7 +176,7 @@
 	var best Choice
 	bestCost, inDomain := 0.0, 0
 	for _, t := range selectVersions(f.view.Load().services[demand.Service], demand.Versions) {
-		if t.probing.Load() || slices.Contains(tried, t) {
+		if t.probing.Load() || t.start.leaving.Load() || slices.Contains(tried, t) {
 			continue
 		}
 		if !withSuspended && t.isSuspended(now) || demand.SameDomain && f.IsInOtherDomain(t) {
--- a/lib/bffleet/start.go
+++ b/lib/bffleet/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"bilberryflow.org/lib/bflimit"
 )
@@ -17,6 +18,9 @@
 type startState struct {
 	// limit is the limit that the target has named, nil for none.
 	limit atomic.Pointer[bflimit.Statement]
+	// leaving is set once an answer has said that the target leaves. Its node may forget that in a
+	// restart, and write its row again.
+	leaving atomic.Bool
 }
 
 func (m Member) startKey() startKey { return startKey{m.Incarnation, m.StartedMilli} }
@@ -61,6 +65,14 @@
 	}
 }
 
+// ReportLeaving records that a start of the target has said that it leaves; it has no effect if the
+// member has another start. The target gets no more requests.
+func (t *Target) ReportLeaving(incarnation string, started time.Time) {
+	if t.member.Incarnation == incarnation && t.member.Started().Equal(started) {
+		t.start.leaving.Store(true)
+	}
+}
+
 // Limit returns the limit of the target as last reported, nil for none.
 func (t *Target) Limit() bflimit.Statement {
 	if limit := t.start.limit.Load(); limit != nil {
--- a/lib/bffleet/start_test.go
+++ b/lib/bffleet/start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -43,3 +44,27 @@
 	}
 	is.True(len(f.starts) <= maxFormerStarts+1)
 }
+
+// Guards against sending requests again to a target that has said that it leaves, when its node writes
+// its row again, and against keeping them from its next start.
+func TestLeavingOutlivesTheRow(t *testing.T) {
+	is := is.New(t)
+	f := New(Place{Domain: "nord"})
+	m := member(1, "nord")
+	m.Incarnation, m.StartedMilli, m.Revision = "i", 7, 1
+	picked := func() bool {
+		return f.Pick(Demand{Service: m.Service}, time.Now(), nil).Target() != nil
+	}
+	f.Replace([]Member{m})
+	f.view.Load().members[m.Inbound].ReportLeaving("i", time.UnixMilli(6)) // an earlier start
+	is.True(picked())
+	f.view.Load().members[m.Inbound].ReportLeaving("i", time.UnixMilli(7))
+	is.True(!picked())
+	f.Replace(nil)
+	m.Revision = 2
+	f.Replace([]Member{m})
+	is.True(!picked())
+	m.StartedMilli = 8
+	f.Replace([]Member{m})
+	is.True(picked())
+}
--- a/lib/bfheader/header.go
+++ b/lib/bfheader/header.go
@@ -41,6 +41,8 @@
 	Backlog = "Bilberry-Backlog"
 	// TargetLimit is the limit that the target has named, in requests per second.
 	TargetLimit = "Bilberry-Target-Limit"
+	// TargetLeaving is the start of the target that has said in the answer that it leaves.
+	TargetLeaving = "Bilberry-Target-Leaving"
 	// Track is the target's recent share of failures and run time.
 	Track = "Bilberry-Track"
 	// Version is set if the entry chose the target for the version of its software.
--- a/lib/bfhost/heartbeat.go
+++ b/lib/bfhost/heartbeat.go
@@ -196,11 +196,16 @@
 	if b.current == nil || !b.current.acceptsWork || !d.covers(b.current.heartbeat) {
 		return false
 	}
+	b.drain()
+	return true
+}
+
+// drain ends new requests for the current start.
+func (b *targetTracker) drain() {
 	draining := *b.current
 	draining.acceptsWork = false
 	draining.heartbeat.State = Draining
 	b.current = &draining
-	return true
 }
 
 // departedStart is the start time of the departed target. A departure without one belongs to the
--- a/lib/bfhost/host.go
+++ b/lib/bfhost/host.go
@@ -316,6 +316,7 @@
 	}
 	if answer.Status() != http.StatusMisdirectedRequest {
 		h.observeLimit(to.target, answer.Header(), sent)
+		h.observeLeaving(to.target, answer.Header())
 	}
 	return h.readResponse(ctx, answer, to, finish, job)
 }
@@ -350,5 +351,8 @@
 		defer finish()
 		return h.lost(ctx, err, job, to)
 	}
+	if h.saysLeaving(from.Header()) {
+		answer.Leaving = to.target.Start()
+	}
 	return Answered{answer}
 }
--- a/lib/bfhost/inbound.go
+++ b/lib/bfhost/inbound.go
@@ -52,6 +52,7 @@
 	defer answered.Answer.Close()
 	bfheader.Strip(answered.Answer.Header)
 	WriteSpent(w.Header(), answered.Answer.Spent)
+	WriteLeaving(w.Header(), answered.Answer.Leaving)
 	Relay(w, r, answered.Answer, i.pacer)
 }
 
--- a/lib/bfhost/job.go
+++ b/lib/bfhost/job.go
@@ -137,6 +137,8 @@
 	Length int64
 	// Spent is the time spent at the target's node.
 	Spent Spent
+	// Leaving is the start of the target that says in this answer that it leaves, zero for none.
+	Leaving Start
 	// Done is called once, by Close.
 	Done func()
 }
