--- a/bftrial/internal/bfsoak/faults.go
+++ b/bftrial/internal/bfsoak/faults.go
@@ -10,6 +10,7 @@
 
 	"bilberryflow.org/bftrial/internal/bffleet"
 	"bilberryflow.org/bftrial/internal/bfproxy"
+	"bilberryflow.org/bftrial/internal/bfsimtarget"
 )
 
 // stopLimit exceeds the nodes' configured grace period.
@@ -240,7 +241,7 @@
 	})
 }
 
-func (n *nodeSlot) withTargetFault(fault func(t *incarnation)) {
+func (n *nodeSlot) withTargetFault(fault func(t *bfsimtarget.Target)) {
 	n.targetMu.Lock()
 	defer n.targetMu.Unlock()
 	n.withFault(false, func() { fault(n.target) })
@@ -248,40 +249,40 @@
 
 func targetFault(mode bfproxy.Mode) func(*harness, *nodeSlot, time.Duration) {
 	return func(_ *harness, n *nodeSlot, length time.Duration) {
-		n.withTargetFault(func(t *incarnation) {
-			t.proxy.Set(mode, 0)
+		n.withTargetFault(func(t *bfsimtarget.Target) {
+			t.Proxy().Set(mode, 0)
 			time.Sleep(length)
-			t.proxy.Set(bfproxy.Pass, 0)
-			t.proxy.Reset()
+			t.Proxy().Set(bfproxy.Pass, 0)
+			t.Proxy().Reset()
 		})
 	}
 }
 
 func (h *harness) resetTarget(n *nodeSlot, _ time.Duration) {
-	n.withTargetFault(func(t *incarnation) { t.proxy.Reset() })
+	n.withTargetFault(func(t *bfsimtarget.Target) { t.Proxy().Reset() })
 }
 
 func (h *harness) slowTarget(n *nodeSlot, length time.Duration) {
-	n.withTargetFault(func(t *incarnation) {
-		t.proxy.Set(bfproxy.Pass, 150*time.Millisecond)
+	n.withTargetFault(func(t *bfsimtarget.Target) {
+		t.Proxy().Set(bfproxy.Pass, 150*time.Millisecond)
 		time.Sleep(length)
-		t.proxy.Set(bfproxy.Pass, 0)
+		t.Proxy().Set(bfproxy.Pass, 0)
 	})
 }
 
 func (h *harness) loseResponses(n *nodeSlot, length time.Duration) {
-	n.withTargetFault(func(t *incarnation) {
-		t.lostPercent.Store(40)
+	n.withTargetFault(func(t *bfsimtarget.Target) {
+		t.LoseResponses(40)
 		time.Sleep(length)
-		t.lostPercent.Store(0)
+		t.LoseResponses(0)
 	})
 }
 
 func (h *harness) duplicateResponses(n *nodeSlot, length time.Duration) {
-	n.withTargetFault(func(t *incarnation) {
-		t.duplicatedPercent.Store(40)
+	n.withTargetFault(func(t *bfsimtarget.Target) {
+		t.DuplicateResponses(40)
 		time.Sleep(length)
-		t.duplicatedPercent.Store(0)
+		t.DuplicateResponses(0)
 	})
 }
 
@@ -290,8 +291,8 @@
 	n.targetMu.Lock()
 	defer n.targetMu.Unlock()
 	n.withFault(true, func() {
-		n.target.stop(h.group.Context(), length > time.Second)
-		next, err := h.startTarget(n, n.target.version)
+		n.target.Stop(h.group.Context(), length > time.Second)
+		next, err := h.startTarget(n, n.target.Version())
 		h.checkError("start of a target", err)
 		if err == nil {
 			n.target = next
--- a/bftrial/internal/bfsoak/harness.go
+++ b/bftrial/internal/bfsoak/harness.go
@@ -14,6 +14,7 @@
 	"bilberryflow.org/bftrial/internal/bffleet"
 	"bilberryflow.org/bftrial/internal/bfproxy"
 	"bilberryflow.org/bftrial/internal/bfrunlog"
+	"bilberryflow.org/bftrial/internal/bfsimtarget"
 	"bilberryflow.org/lib/bfgroup"
 	"bilberryflow.org/lib/bftraffic"
 	"bilberryflow.org/platform/bfdialect"
@@ -45,7 +46,7 @@
 	ready   atomic.Bool
 
 	targetMu sync.Mutex
-	target   *incarnation
+	target   *bfsimtarget.Target
 
 	periods bfrunlog.FaultPeriods
 }
@@ -168,7 +169,7 @@
 	if n.target, err = h.startTarget(n, version); err != nil {
 		return err
 	}
-	n.target.failedPercent.Store(failedPercent)
+	n.target.FailRuns(failedPercent)
 	h.nodesMu.Lock()
 	defer h.nodesMu.Unlock()
 	h.nodes = append(slices.Clone(h.nodes), n)
--- a/lib/bfhost/host.go
+++ b/lib/bfhost/host.go
@@ -14,6 +14,7 @@
 	"bilberryflow.org/lib/bfexchange"
 	"bilberryflow.org/lib/bfflight"
 	"bilberryflow.org/lib/bfheader"
+	"bilberryflow.org/lib/bflimit"
 	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bfslot"
 	"bilberryflow.org/lib/bftimer"
@@ -54,7 +55,7 @@
 	// nodes whose answers are still being sent.
 	inProgress atomic.Int64
 	failures   failureShare
-	limit      targetLimit
+	limit      bflimit.Keeper
 	// sends counts the requests sent to the target.
 	sends atomic.Int64
 	// runs maps the ID of each request in progress to its *bfbudget.Run.
--- a/lib/bfhost/job.go
+++ b/lib/bfhost/job.go
@@ -138,7 +138,7 @@
 	// Spent is the time spent at the target's node.
 	Spent Spent
 	// Leaving is the start of the target that says in this answer that it leaves, zero for none.
-	Leaving Start
+	Leaving bflimit.Start
 	// Done is called once, by Close.
 	Done func()
 }
--- a/lib/bfhost/leaving.go
+++ b/lib/bfhost/leaving.go
@@ -7,18 +7,13 @@
 	"time"
 
 	"bilberryflow.org/lib/bfheader"
+	"bilberryflow.org/lib/bflimit"
 )
 
-// Start identifies one start of a target.
-type Start struct {
-	// Incarnation is the name that the target chose.
-	Incarnation string
-	// Started is the target's start time by its own clock, zero if not reported.
-	Started time.Time
-}
-
 // Start identifies the target's start.
-func (t *Target) Start() Start { return Start{Incarnation: t.Incarnation(), Started: t.Started()} }
+func (t *Target) Start() bflimit.Start {
+	return bflimit.Start{Incarnation: t.Incarnation(), Started: t.Started()}
+}
 
 // leavingValue is the value of the header in the answers of a target that leaves.
 const leavingValue = "1"
@@ -38,7 +33,7 @@
 
 // applyLeaving applies a start's statement that it leaves, and reports whether the view changed. Like a
 // heartbeat that says draining, it holds until another start follows.
-func (b *targetTracker) applyLeaving(leaving Start) bool {
+func (b *targetTracker) applyLeaving(leaving bflimit.Start) bool {
 	if b.current == nil || !b.current.acceptsWork || b.current.Incarnation() != leaving.Incarnation || !b.current.Started().Equal(leaving.Started) {
 		return false
 	}
@@ -48,7 +43,7 @@
 
 // WriteLeaving writes to the header of an answer between nodes which start of the target says in it
 // that it leaves; the zero value is none. The entry may know another start at that node.
-func WriteLeaving(h http.Header, leaving Start) {
+func WriteLeaving(h http.Header, leaving bflimit.Start) {
 	if leaving.Incarnation == "" {
 		return
 	}
@@ -60,14 +55,14 @@
 }
 
 // ReadLeaving parses what WriteLeaving wrote; the zero value is none.
-func ReadLeaving(h http.Header) Start {
+func ReadLeaving(h http.Header) bflimit.Start {
 	before, incarnation, _ := strings.Cut(h.Get(bfheader.TargetLeaving), " ")
 	milli, err := strconv.ParseInt(before, 10, 64)
 	switch {
 	case err != nil || incarnation == "":
-		return Start{}
+		return bflimit.Start{}
 	case milli == 0:
-		return Start{Incarnation: incarnation}
+		return bflimit.Start{Incarnation: incarnation}
 	}
-	return Start{Incarnation: incarnation, Started: time.UnixMilli(milli)}
+	return bflimit.Start{Incarnation: incarnation, Started: time.UnixMilli(milli)}
 }
--- /dev/null
+++ b/lib/bflimit/keeper.go
@@ -0,0 +1,101 @@
+package bflimit
+
+import (
+	"sync"
+	"time"
+)
+
+// Start identifies one start of a target, whose limit ends with it.
+type Start struct {
+	// Incarnation is the name that the target chose.
+	Incarnation string
+	// Started is the target's start time by its own clock, zero if not reported.
+	Started time.Time
+}
+
+func (s Start) equal(other Start) bool {
+	return s.Incarnation == other.Incarnation && s.Started.Equal(other.Started)
+}
+
+// Keeper keeps the limit that the running start of a target names, from its answers. It is safe for
+// concurrent use.
+type Keeper struct {
+	mu    sync.Mutex
+	start Start
+	// limit is the latest statement, nil before the first answer of the start.
+	limit Statement
+	// namedAt is when the latest answer with a limit arrived.
+	namedAt time.Time
+	limiter Limiter
+}
+
+// Observe applies the statement of an answer to a request that was sent at a time; changed reports
+// whether the limit differs now.
+//
+// Answers can overtake each other. One without a limit ends the limit only if its request was sent
+// after the limit was named.
+func (k *Keeper) Observe(start Start, said Statement, sent, now time.Time) (changed bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.follow(start)
+	if _, named := said.(PerSecond); named {
+		k.namedAt = now
+	} else if sent.Before(k.namedAt) {
+		return false
+	}
+	before := k.limit
+	if before == said {
+		return false
+	}
+	k.limit = said
+	k.limiter.Set(said, now)
+	return before != nil || said != Statement(Unlimited{})
+}
+
+// follow forgets the limit of an earlier start. k.mu must be held.
+func (k *Keeper) follow(start Start) {
+	if !k.start.equal(start) {
+		k.start, k.limit, k.namedAt, k.limiter = start, nil, time.Time{}, Limiter{}
+	}
+}
+
+// Adopt applies a limit that another node knows, if no answer of the start has arrived yet: a node that
+// restarts must not forget a limit that its target has named. A known of nil is none.
+func (k *Keeper) Adopt(start Start, known Statement, now time.Time) {
+	if _, named := known.(PerSecond); !named {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.follow(start)
+	if k.limit == nil {
+		k.limit, k.namedAt = known, now
+		k.limiter.Set(known, now)
+	}
+}
+
+// Admit returns a permit to send a request to a start. Its error is LimitedError.
+func (k *Keeper) Admit(start Start, request Request, now time.Time) (Permit, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.follow(start)
+	return k.limiter.Admit(request, now)
+}
+
+// Cancel gives back the permit of a request that was not sent.
+func (k *Keeper) Cancel(permit Permit, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	permit.cancel(now)
+}
+
+// Slots returns how many of a target's slots the limit lets requests use that hold one for a time, and
+// the limit itself, nil for none.
+func (k *Keeper) Slots(slots int, hold time.Duration) (usable int, limit Statement) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if _, named := k.limit.(PerSecond); named {
+		limit = k.limit
+	}
+	return k.limiter.Slots(slots, hold), limit
+}
--- a/lib/bflimit/limiter.go
+++ b/lib/bflimit/limiter.go
@@ -55,8 +55,8 @@
 // Wait returns how long after Admit the request may be sent.
 func (p Permit) Wait() time.Duration { return p.wait }
 
-// Cancel gives back the permit of a request that was not sent.
-func (p Permit) Cancel(now time.Time) {
+// cancel gives back the permit of a request that was not sent.
+func (p Permit) cancel(now time.Time) {
 	if p.tokens != nil {
 		p.tokens.CancelAt(now)
 	}
