Emulator: targets that name limits, and that leave by their answers

Loads can have both as faults, by the decisions that the nodes use. The load limits.json names limits of a third of two services' targets, beside a burst of half as many callers again, nested calls, shed requests that are repeated, a crash and leaving targets.

--- a/lib/bfemulator/emulator_test.go
+++ b/lib/bfemulator/emulator_test.go
@@ -28,7 +28,7 @@
 
 // Guards against callers that are lost or counted twice, and against simulations that aren't reproducible.
 func TestSimulationsAreReproducible(t *testing.T) {
-	for _, name := range []string{"shedding", "crash", "scarce", "ends-targets", "crashes-of-their-own"} {
+	for _, name := range []string{"shedding", "crash", "scarce", "ends-targets", "crashes-of-their-own", "limits"} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			l := load(t, name)
--- a/lib/bfemulator/load.go
+++ b/lib/bfemulator/load.go
@@ -70,7 +70,7 @@
 
 // Fault affects some of a service's targets for a time; a burst affects the arrival rate instead.
 type Fault struct {
-	Kind    string              `json:"kind" jsonschema:"enum=shed,enum=slow,enum=crash,enum=burst,description=shed: x of what arrives is turned away; slow: runs take x times as long; crash: nothing is taken and what runs is lost; burst: x times as many callers."`
+	Kind    string              `json:"kind" jsonschema:"enum=shed,enum=slow,enum=crash,enum=burst,enum=limit,enum=leave,description=shed: x of what arrives is turned away; slow: runs take x times as long; crash: nothing is taken and what runs is lost; burst: x times as many callers; limit: answers name x requests a second as the target's limit; leave: answers say with x above 0 that the target leaves."`
 	Service string              `json:"service,omitempty"`
 	Share   float64             `json:"share,omitempty" jsonschema:"minimum=0,maximum=1,description=Part of the service's targets."`
 	X       float64             `json:"x,omitempty" jsonschema:"minimum=0,maximum=1000"`
@@ -158,6 +158,8 @@
 	faultSlow  = "slow"
 	faultCrash = "crash"
 	faultBurst = "burst"
+	faultLimit = "limit"
+	faultLeave = "leave"
 )
 
 // activeAt reports whether the fault is active at a time since the start.
--- a/lib/bfemulator/report.go
+++ b/lib/bfemulator/report.go
@@ -37,12 +37,16 @@
 	Attempts, CrossDomainAttempts, Arrivals int
 	// crashTimes are the times since the start at which each request content crashed a target.
 	crashTimes map[bfquarantine.Content][]time.Duration
+	// limited holds, by target, the arrivals while it named a limit.
+	limited map[targetIndex][]limitedArrival
+	// ArrivalsAtLeaving is the number of requests that reached targets while they said that they leave.
+	ArrivalsAtLeaving int
 	// requests and repeats are counts by service and interval.
 	requests, repeats []map[int]int
 }
 
 func newReport(load Load) *Report {
-	r := &Report{load: load, classes: make([]Outcomes, len(load.Classes)), crashTimes: map[bfquarantine.Content][]time.Duration{}}
+	r := &Report{load: load, classes: make([]Outcomes, len(load.Classes)), crashTimes: map[bfquarantine.Content][]time.Duration{}, limited: map[targetIndex][]limitedArrival{}}
 	for i := range r.classes {
 		r.classes[i].Times = hdrhistogram.New(1, maxLatencyMicros, 2)
 	}
--- a/lib/bfemulator/request.go
+++ b/lib/bfemulator/request.go
@@ -6,6 +6,7 @@
 
 	"bilberryflow.org/lib/bfbudget"
 	"bilberryflow.org/lib/bffleet"
+	"bilberryflow.org/lib/bflimit"
 	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bfslot"
 	"bilberryflow.org/lib/bfwalk"
@@ -97,14 +98,20 @@
 // requestSlot requests a slot for a request that has arrived at its target's node.
 func (w *world) requestSlot(r *request, target *bffleet.Target, slot bfslot.Request, delay time.Duration) {
 	n := w.byAddress[target.Member().Inbound]
-	if w.down(n) {
+	if w.down(n) || w.leaves(n) {
 		w.agenda.After(delay+connectFailureDelay, func() { w.onUnreachable(r, target) })
 		return
 	}
+	w.admitLimited(r, target, n, slot, delay, func(permit bflimit.Permit) { w.enterQueue(r, target, n, slot, delay, permit) })
+}
+
+// enterQueue queues a request that the target's limit allows for a slot.
+func (w *world) enterQueue(r *request, target *bffleet.Target, n *node, slot bfslot.Request, delay time.Duration, permit bflimit.Permit) {
 	ticket, err := n.queue.Enter(slot)
 	var full *bfslot.FullError
 	switch {
 	case errors.As(err, &full):
+		n.limit.Cancel(permit, w.agenda.Now())
 		w.agenda.After(delay, func() { w.onFull(r, target) })
 	case ticket == nil:
 		w.dispatch(r, target, n, delay)
@@ -112,6 +119,7 @@
 		n.onGrant[ticket] = func() { w.dispatch(r, target, n, delay) }
 		w.agenda.After(slot.MaxWait, func() {
 			if n.queue.Leave(ticket) {
+				n.limit.Cancel(permit, w.agenda.Now())
 				w.agenda.After(delay, func() { w.onFull(r, target) })
 			}
 		})
@@ -149,8 +157,10 @@
 		w.report.count(w.report.repeats, n.service, w.elapsed())
 	}
 	w.report.Arrivals++
+	w.recordArrival(n)
 	if w.random.Float64() < w.faultFactor(faultShed, n) {
 		budgeted.End()
+		w.observeAnswer(n, w.agenda.Now())
 		n.isolating = n.isolating && !isolated
 		w.releaseSlot(n, c.Name, 0)
 		w.agenda.After(delay, func() { w.onShed(r, target) })
@@ -213,6 +223,7 @@
 		return
 	}
 	u.ended = true
+	w.observeAnswer(u.node, u.started)
 	delete(u.node.running, u.number)
 	u.End()
 	w.recordFinished(u, !failed)
@@ -242,6 +253,7 @@
 func (w *world) recordAnswer(r *request, target *bffleet.Target, accepted bool) {
 	n := w.byAddress[target.Member().Inbound]
 	used, slots := n.queue.Load()
+	slots, _ = n.limit.Slots(slots, n.queue.OverallMeanHold())
 	target.ReportLoad(used, slots, w.agenda.Now())
 	target.ReportHealth(0, n.speed, w.agenda.Now())
 	target.End()
--- a/lib/bfemulator/world.go
+++ b/lib/bfemulator/world.go
@@ -9,6 +9,7 @@
 	"bilberryflow.org/lib/bfagenda"
 	"bilberryflow.org/lib/bfbudget"
 	"bilberryflow.org/lib/bffleet"
+	"bilberryflow.org/lib/bflimit"
 	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bfslot"
 	"bilberryflow.org/lib/bfwalk"
@@ -64,6 +65,9 @@
 	answers   bfquarantine.RecentAnswers
 	isolating bool
 	downUntil time.Time
+	// limit is what the target names, leaving is set since an answer has said that it leaves.
+	limit   bflimit.Keeper
+	leaving bool
 }
 
 // Simulate runs a load to its end and reports the outcomes.
