bfnews: updates of an earlier release count by their arrival

While a fleet is upgraded, relays of the earlier release return no clock readings. Nodes of this one would count none of their updates, and all of them read the store: at the size that the design is for, 25,000 nodes with more than a call a second each.

--- a/lib/bfnews/push.go
+++ b/lib/bfnews/push.go
@@ -38,6 +38,8 @@
 	Quarantine uint64 `json:"quarantine,omitempty"`
 	// Rollouts is the digest of the roll-outs.
 	Rollouts uint64 `json:"rollouts,omitempty"`
+	// Proves is set if the sender returns the receiver's readings; senders of earlier releases don't.
+	Proves bool `json:"proves,omitempty"`
 	echo
 }
 
@@ -105,7 +107,7 @@
 // VersionAsOf is read before the version: in the reverse order, a change in between would mark
 // an old version as the newest at the revision of the change.
 func (e *Exchange) newUpdate(reader bool) update {
-	u := update{AsOf: e.state.VersionAsOf(), Peer: e.self, Quarantine: e.quarantine.Digest(), Rollouts: e.rollouts.Digest(), Reader: reader, Fresh: reader || e.receivedRecently(&e.received.reader)}
+	u := update{AsOf: e.state.VersionAsOf(), Peer: e.self, Quarantine: e.quarantine.Digest(), Rollouts: e.rollouts.Digest(), Reader: reader, Proves: true, Fresh: reader || e.receivedRecently(&e.received.reader)}
 	u.Version, u.Revision = e.state.Version(), e.state.Revision()
 	return u
 }
@@ -202,9 +204,10 @@
 
 // recordReceipt records when an update of each kind last arrived. An update that may have been
 // sent long ago does not count, else the node would take its sender's state of then for the
-// current one.
+// current one. Those of senders that can't prove it count, else all nodes would read the store
+// during an upgrade of a fleet.
 func (e *Exchange) recordReceipt(u update) {
-	if u.Hint || !u.provesFresh(e.clock()) {
+	if u.Hint || u.Proves && !u.provesFresh(e.clock()) {
 		return
 	}
 	now := e.uptime()
