A known limit belongs to a start of the target

An entry whose row of a node is still that of its target's earlier start told the node that start's limit, and the next start, which names none, got as little until its first answer. Limits between nodes name their start, and a node adopts only that of the running one. Found by reading the change; TestLimitOfAnotherStartIsNotAdopted fails without it.

--- a/lib/bfemulator/request.go
+++ b/lib/bfemulator/request.go
@@ -253,8 +253,7 @@
 func (w *world) recordAnswer(r *request, target *bffleet.Target, accepted bool) {
 	n := w.byAddress[target.Member().Inbound]
 	used, slots := n.queue.Load()
-	slots, _ = n.limit.Slots(slots, n.queue.OverallMeanHold())
-	target.ReportLoad(used, slots, w.agenda.Now())
+	target.ReportLoad(used, n.limit.Slots(slots, n.queue.OverallMeanHold()), w.agenda.Now())
 	target.ReportHealth(0, n.speed, w.agenda.Now())
 	target.End()
 	acceptance := &r.entry.sameDomain
--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -342,7 +342,7 @@
 	request := *c.request
 	request.Header = c.request.Header.Clone()
 	result := c.handler.config.Host.Run(ctx, bfhost.Job{Request: &request, Deadline: c.deadline, Policy: c.policy()})
-	used, slots, _ := c.handler.config.Host.Capacity()
+	used, slots := c.handler.config.Host.Capacity()
 	target.ReportLoad(used, slots, c.handler.config.Timer.Now())
 	c.updateHealth(target, c.handler.config.Host.Health(c.route.Name()))
 	return result
--- a/lib/bfentry/limit_test.go
+++ b/lib/bfentry/limit_test.go
@@ -62,12 +62,13 @@
 // Guards against a limit that is lost when the target's node restarts: the entry tells it again.
 func TestEntryTellsARestartedNodeTheLimit(t *testing.T) {
 	m := newMesh(t, generous, limited("3"))
+	m.fleet.Replace([]bffleet.Member{{Inbound: m.nodes[0].address(), Service: "portal", Domain: "nord", Slots: slots, Incarnation: "a"}})
 	m.send(http.MethodPost, "/approve/first", nil)
 	var target *bffleet.Target
 	for target == nil {
 		target = m.fleet.Pick(bffleet.Demand{Service: "portal"}, time.Now(), nil).Target()
 	}
-	m.Equal(target.Limit(), bflimit.PerSecond(3))
+	m.Equal(target.Limit().Limit, bflimit.PerSecond(3))
 	restarted := newTestNode(t, m.entry.config.Timer, m.account(generous), limited("3"))
 	m.nodes[0].inbound.Config.Handler = bfhost.NewInbound(restarted.host, nil)
 	answer, _ := m.send(http.MethodPost, "/approve/second", nil)
--- a/lib/bfentry/remote.go
+++ b/lib/bfentry/remote.go
@@ -47,9 +47,7 @@
 	if health, ok := bfhost.ReadHealth(from.Header()); ok {
 		c.updateHealth(target, health)
 	}
-	if leaving := bfhost.ReadLeaving(from.Header()); leaving.Incarnation != "" {
-		target.ReportLeaving(leaving.Incarnation, leaving.Started)
-	}
+	target.ReportLeaving(bfhost.ReadLeaving(from.Header()))
 	if result, ok := bfhost.ReadResult(from.Header()); ok {
 		drain(from)
 		return result
--- a/lib/bffleet/start.go
+++ b/lib/bffleet/start.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync/atomic"
-	"time"
 
 	"bilberryflow.org/lib/bflimit"
 )
@@ -17,7 +16,7 @@
 // target's node removes and writes again.
 type startState struct {
 	// limit is the limit that the target has named, nil for none.
-	limit atomic.Pointer[bflimit.Statement]
+	limit atomic.Pointer[bflimit.Known]
 	// leaving is set once an answer has said that the target leaves. Its node may forget that in a
 	// restart, and write its row again.
 	leaving atomic.Bool
@@ -55,11 +54,17 @@
 	f.starts = kept
 }
 
-// ReportLimit records the limit of the target as reported by its node, nil for none.
-func (t *Target) ReportLimit(limit bflimit.Statement) {
+func (t *Target) isStart(of bflimit.Start) bool {
+	return of.Incarnation != "" && of.Incarnation == t.member.Incarnation && of.Started.Equal(t.member.Started())
+}
+
+// ReportLimit records the limit of the target as reported by its node. The limit of another start than
+// the member's has no effect.
+func (t *Target) ReportLimit(known bflimit.Known) {
 	switch {
-	case limit != nil:
-		t.start.limit.Store(&limit)
+	case known.Limit != nil && !t.isStart(known.Start):
+	case known.Limit != nil:
+		t.start.limit.Store(&known)
 	case t.start.limit.Load() != nil:
 		t.start.limit.Store(nil)
 	}
@@ -67,16 +72,16 @@
 
 // ReportLeaving records that a start of the target has said that it leaves; it has no effect if the
 // member has another start. The target gets no more requests.
-func (t *Target) ReportLeaving(incarnation string, started time.Time) {
-	if t.member.Incarnation == incarnation && t.member.Started().Equal(started) {
+func (t *Target) ReportLeaving(leaving bflimit.Start) {
+	if t.isStart(leaving) {
 		t.start.leaving.Store(true)
 	}
 }
 
-// Limit returns the limit of the target as last reported, nil for none.
-func (t *Target) Limit() bflimit.Statement {
-	if limit := t.start.limit.Load(); limit != nil {
-		return *limit
+// Limit returns the limit of the target as last reported.
+func (t *Target) Limit() bflimit.Known {
+	if known := t.start.limit.Load(); known != nil {
+		return *known
 	}
-	return nil
+	return bflimit.Known{}
 }
--- a/lib/bffleet/start_test.go
+++ b/lib/bffleet/start_test.go
@@ -9,6 +9,11 @@
 	"bilberryflow.org/lib/bflimit"
 )
 
+// known is a limit of a member's start.
+func known(m Member) bflimit.Known {
+	return bflimit.Known{Start: bflimit.Start{Incarnation: m.Incarnation, Started: m.Started()}, Limit: bflimit.PerSecond(4)}
+}
+
 // Guards against forgetting the limit of a target while its node removes and writes its row, and
 // against a limit that is taken for that of the target's next start.
 func TestLimitOutlivesTheRow(t *testing.T) {
@@ -18,18 +23,21 @@
 	m.Incarnation, m.StartedMilli, m.Revision = "i", 7, 1
 	target := func() *Target { return f.view.Load().members[m.Inbound] }
 	f.Replace([]Member{m})
-	is.Equal(target().Limit(), nil)
-	target().ReportLimit(bflimit.PerSecond(4))
+	is.Equal(target().Limit().Limit, nil)
+	target().ReportLimit(known(m))
 	f.Change(nil, []string{m.Inbound})
 	m.Revision = 2
 	f.Change([]Member{m}, nil)
-	is.Equal(target().Limit(), bflimit.PerSecond(4))
+	is.Equal(target().Limit().Limit, bflimit.PerSecond(4))
+	earlier := known(m)
 	m.StartedMilli = 8
 	f.Change([]Member{m}, nil)
-	is.Equal(target().Limit(), nil)
-	target().ReportLimit(bflimit.PerSecond(4))
-	target().ReportLimit(nil)
-	is.Equal(target().Limit(), nil)
+	is.Equal(target().Limit().Limit, nil)
+	target().ReportLimit(earlier)
+	is.Equal(target().Limit().Limit, nil)
+	target().ReportLimit(known(m))
+	target().ReportLimit(bflimit.Known{})
+	is.Equal(target().Limit().Limit, nil)
 }
 
 // Guards against memory that grows with every target that ever was.
@@ -56,9 +64,9 @@
 		return f.Pick(Demand{Service: m.Service}, time.Now(), nil).Target() != nil
 	}
 	f.Replace([]Member{m})
-	f.view.Load().members[m.Inbound].ReportLeaving("i", time.UnixMilli(6)) // an earlier start
+	f.view.Load().members[m.Inbound].ReportLeaving(bflimit.Start{Incarnation: "i", Started: time.UnixMilli(6)}) // an earlier start
 	is.True(picked())
-	f.view.Load().members[m.Inbound].ReportLeaving("i", time.UnixMilli(7))
+	f.view.Load().members[m.Inbound].ReportLeaving(bflimit.Start{Incarnation: "i", Started: time.UnixMilli(7)})
 	is.True(!picked())
 	f.Replace(nil)
 	m.Revision = 2
--- a/lib/bfhost/hop.go
+++ b/lib/bfhost/hop.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"bilberryflow.org/lib/bfheader"
-	"bilberryflow.org/lib/bflimit"
 )
 
 // policyHeader carries a Policy from the entry to the target's node.
@@ -117,23 +116,6 @@
 	return time.Duration(backlog) * time.Millisecond
 }
 
-// WriteLimit writes the target's limit to a header between nodes; nil is no limit. In an answer it is
-// what the target's node keeps, in a request what the entry knows.
-func WriteLimit(h http.Header, limit bflimit.Statement) {
-	if perSecond, named := limit.(bflimit.PerSecond); named {
-		h[bfheader.TargetLimit] = []string{strconv.FormatFloat(float64(perSecond), 'f', -1, 64)}
-	}
-}
-
-// ReadLimit parses what WriteLimit wrote, nil if there is no limit.
-func ReadLimit(h http.Header) bflimit.Statement {
-	said, err := bflimit.Parse(h[bfheader.TargetLimit])
-	if _, named := said.(bflimit.PerSecond); err != nil || !named {
-		return nil
-	}
-	return said
-}
-
 // WriteSpent writes the time spent at a target's node to the header of an answer between nodes.
 func WriteSpent(h http.Header, s Spent) {
 	h[bfheader.Spent] = []string{strconv.FormatInt(s.Wait.Microseconds(), 10) + "/" + strconv.FormatInt(s.Run.Microseconds(), 10)}
--- a/lib/bfhost/inbound.go
+++ b/lib/bfhost/inbound.go
@@ -36,9 +36,9 @@
 		return
 	}
 	result := i.run(r.Context(), job)
-	used, slots, limit := i.host.Capacity()
+	used, slots := i.host.Capacity()
 	WriteLoad(w.Header(), used, slots)
-	WriteLimit(w.Header(), limit)
+	WriteLimit(w.Header(), i.host.limit.Known())
 	WriteBacklog(w.Header(), i.pacer.Backlog())
 	WriteHealth(w.Header(), i.host.Health(job.Policy.Class))
 	if i.host.Leaving() {
--- a/lib/bfhost/job.go
+++ b/lib/bfhost/job.go
@@ -16,8 +16,8 @@
 	Request  *bfexchange.Request
 	Deadline time.Time
 	Policy   Policy
-	// KnownLimit is the target's limit as the entry knows it, nil for none.
-	KnownLimit bflimit.Statement
+	// KnownLimit is the target's limit as the entry knows it.
+	KnownLimit bflimit.Known
 }
 
 // Policy states how the target's node handles a request: its statistics, priority, retry budget
--- a/lib/bfhost/leaving.go
+++ b/lib/bfhost/leaving.go
@@ -41,22 +41,48 @@
 	return true
 }
 
+// WriteLimit writes the target's limit to a header between nodes. In an answer it is what the target's
+// node keeps, in a request what the entry knows.
+func WriteLimit(h http.Header, known bflimit.Known) {
+	if perSecond, named := known.Limit.(bflimit.PerSecond); named {
+		h[bfheader.TargetLimit] = []string{strconv.FormatFloat(float64(perSecond), 'f', -1, 64) + " " + encodeStart(known.Start)}
+	}
+}
+
+// ReadLimit parses what WriteLimit wrote; the zero value is no limit.
+func ReadLimit(h http.Header) bflimit.Known {
+	before, after, _ := strings.Cut(h.Get(bfheader.TargetLimit), " ")
+	start := decodeStart(after)
+	limit, err := bflimit.Parse([]string{before})
+	if err != nil || start.Incarnation == "" {
+		return bflimit.Known{}
+	}
+	return bflimit.Known{Start: start, Limit: limit}
+}
+
 // WriteLeaving writes to the header of an answer between nodes which start of the target says in it
 // that it leaves; the zero value is none. The entry may know another start at that node.
 func WriteLeaving(h http.Header, leaving bflimit.Start) {
-	if leaving.Incarnation == "" {
-		return
+	if leaving.Incarnation != "" {
+		h[bfheader.TargetLeaving] = []string{encodeStart(leaving)}
 	}
+}
+
+// ReadLeaving parses what WriteLeaving wrote; the zero value is none.
+func ReadLeaving(h http.Header) bflimit.Start { return decodeStart(h.Get(bfheader.TargetLeaving)) }
+
+// encodeStart returns the text of a start: its time in Unix milliseconds, 0 for none, and its name.
+func encodeStart(start bflimit.Start) string {
 	milli := int64(0)
-	if !leaving.Started.IsZero() {
-		milli = leaving.Started.UnixMilli()
+	if !start.Started.IsZero() {
+		milli = start.Started.UnixMilli()
 	}
-	h[bfheader.TargetLeaving] = []string{strconv.FormatInt(milli, 10) + " " + leaving.Incarnation}
+	return strconv.FormatInt(milli, 10) + " " + start.Incarnation
 }
 
-// ReadLeaving parses what WriteLeaving wrote; the zero value is none.
-func ReadLeaving(h http.Header) bflimit.Start {
-	before, incarnation, _ := strings.Cut(h.Get(bfheader.TargetLeaving), " ")
+// decodeStart parses what encodeStart wrote, the zero value if it is malformed.
+func decodeStart(text string) bflimit.Start {
+	before, incarnation, _ := strings.Cut(text, " ")
 	milli, err := strconv.ParseInt(before, 10, 64)
 	switch {
 	case err != nil || incarnation == "":
--- a/lib/bfhost/limit.go
+++ b/lib/bfhost/limit.go
@@ -34,12 +34,11 @@
 	}
 }
 
-// Capacity is the load of the target as entries should see it: its slots in use, those that its
-// limit lets requests use, and that limit, nil if it names none.
-func (h *Host) Capacity() (used, slots int, limit bflimit.Statement) {
+// Capacity is the load of the target as entries should see it: its slots in use, and those that its
+// limit lets requests use.
+func (h *Host) Capacity() (used, slots int) {
 	used, slots = h.gate.Load()
-	slots, limit = h.limit.Slots(slots, h.gate.OverallMeanHold())
-	return used, slots, limit
+	return used, h.limit.Slots(slots, h.gate.OverallMeanHold())
 }
 
 // awaitPermit waits until the target's limit allows the job. It returns a Refused if it does not
--- a/lib/bfhost/limit_test.go
+++ b/lib/bfhost/limit_test.go
@@ -54,16 +54,25 @@
 	r.heartbeat("a", 1, Ready)
 	known := func(id string) Job {
 		j := job(id)
-		j.KnownLimit = bflimit.PerSecond(4)
+		j.KnownLimit = bflimit.Known{Start: bflimit.Start{Incarnation: "a"}, Limit: bflimit.PerSecond(4)}
 		return j
 	}
 	r.Equal(r.run(known("1")), "refused limited") // a limit begins without a burst
-	_, slots, limit := r.host.Capacity()
+	_, slots := r.host.Capacity()
 	r.Equal(slots, 1)
-	r.Equal(limit, bflimit.PerSecond(4))
+	r.Equal(r.host.limit.Known().Limit, bflimit.PerSecond(4))
 	time.Sleep(300 * time.Millisecond)
 	r.Equal(r.run(known("2")), "200 hello") // names no limit
 	for at := range 20 {
 		r.Equal(r.run(known(fmt.Sprint("w", at))), "200 hello")
 	}
 }
+
+// Guards against a limit of the target's earlier start that is kept for the next one.
+func TestLimitOfAnotherStartIsNotAdopted(t *testing.T) {
+	r := newFixture(t, hello)
+	r.heartbeat("b", 1, Ready)
+	j := job("1")
+	j.KnownLimit = bflimit.Known{Start: bflimit.Start{Incarnation: "a"}, Limit: bflimit.PerSecond(0.5)}
+	r.Equal(r.run(j), "200 hello")
+}
--- a/lib/bflimit/keeper.go
+++ b/lib/bflimit/keeper.go
@@ -59,18 +59,18 @@
 	}
 }
 
-// Adopt applies a limit that another node knows, if no answer of the start has arrived yet: a node that
-// restarts must not forget a limit that its target has named. A known of nil is none.
-func (k *Keeper) Adopt(start Start, known Statement, now time.Time) {
-	if _, named := known.(PerSecond); !named {
+// Adopt applies a limit that another node knows of a start, if that is the running one and no answer of
+// it has arrived yet: a node that restarts must not forget a limit that its target has named.
+func (k *Keeper) Adopt(start Start, known Known, now time.Time) {
+	if _, named := known.Limit.(PerSecond); !named || !start.equal(known.Start) {
 		return
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.follow(start)
 	if k.limit == nil {
-		k.limit, k.namedAt = known, now
-		k.limiter.Set(known, now)
+		k.limit, k.namedAt = known.Limit, now
+		k.limiter.Set(known.Limit, now)
 	}
 }
 
@@ -89,13 +89,25 @@
 	permit.cancel(now)
 }
 
-// Slots returns how many of a target's slots the limit lets requests use that hold one for a time, and
-// the limit itself, nil for none.
-func (k *Keeper) Slots(slots int, hold time.Duration) (usable int, limit Statement) {
+// Slots returns how many of a target's slots the limit lets requests use that hold one for a time.
+func (k *Keeper) Slots(slots int, hold time.Duration) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.limiter.Slots(slots, hold)
+}
+
+// Known is the limit that a start of a target has named, as nodes tell each other; nil is none.
+type Known struct {
+	Start Start
+	Limit Statement
+}
+
+// Known returns the limit in force.
+func (k *Keeper) Known() Known {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if _, named := k.limit.(PerSecond); named {
-		limit = k.limit
+		return Known{Start: k.start, Limit: k.limit}
 	}
-	return k.limiter.Slots(slots, hold), limit
+	return Known{}
 }
