bflimit: a permit that was not used is given back

Found by a test of it: a limited target whose slots were all taken got nothing for a while afterwards. Requests that the limit allowed and no slot took used up the limit: the library's reservation can't be cancelled once its time has come, which for a request that need not wait is at once.

--- a/lib/bfemulator/request.go
+++ b/lib/bfemulator/request.go
@@ -111,7 +111,7 @@
 	var full *bfslot.FullError
 	switch {
 	case errors.As(err, &full):
-		n.limit.Cancel(permit, w.agenda.Now())
+		n.limit.Cancel(permit)
 		w.agenda.After(delay, func() { w.onFull(r, target) })
 	case ticket == nil:
 		w.dispatch(r, target, n, delay)
@@ -119,7 +119,7 @@
 		n.onGrant[ticket] = func() { w.dispatch(r, target, n, delay) }
 		w.agenda.After(slot.MaxWait, func() {
 			if n.queue.Leave(ticket) {
-				n.limit.Cancel(permit, w.agenda.Now())
+				n.limit.Cancel(permit)
 				w.agenda.After(delay, func() { w.onFull(r, target) })
 			}
 		})
--- a/lib/bfentry/limit_test.go
+++ b/lib/bfentry/limit_test.go
@@ -75,3 +75,25 @@
 	m.Equal(answer, "503 ")
 	m.Equal(restarted.runs.Load(), int32(0))
 }
+
+// Guards against an entry that sends a target which has said in an answer that it leaves more requests,
+// when the node beside it has restarted and takes it for ready.
+func TestEntryRemembersThatATargetLeaves(t *testing.T) {
+	leaving := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(names.Leaving, "1")
+		hello(w, r)
+	}
+	m := newMesh(t, generous, leaving)
+	m.fleet.Replace([]bffleet.Member{{Inbound: m.nodes[0].address(), Service: "portal", Domain: "nord", Slots: slots, Incarnation: "a"}})
+	answer, header := m.send(http.MethodPost, "/approve/first", nil)
+	m.Equal(answer, "200 hello")
+	m.Equal(header.Get(names.Leaving), "1") // the target's own header reaches the caller
+	m.Equal(header.Get(bfheader.TargetLeaving), "")
+	restarted := newTestNode(t, m.entry.config.Timer, m.account(generous), leaving)
+	m.nodes[0].inbound.Config.Handler = bfhost.NewInbound(restarted.host, nil)
+	for range 3 {
+		answer, _ = m.send(http.MethodPost, "/approve/second", nil)
+		m.Equal(answer, "503 ")
+	}
+	m.Equal(restarted.runs.Load(), int32(0))
+}
--- a/lib/bfhost/host.go
+++ b/lib/bfhost/host.go
@@ -188,7 +188,7 @@
 	}
 	result, sent := h.runPermitted(ctx, job, request, arrived)
 	if !sent {
-		h.cancelPermit(permit)
+		h.limit.Cancel(permit)
 	}
 	return result
 }
--- a/lib/bfhost/limit.go
+++ b/lib/bfhost/limit.go
@@ -52,10 +52,8 @@
 		return permit, Refused{Reason: Limited, RetryAfter: limited.RetryAfter}
 	}
 	if permit.Wait() > 0 && h.config.Timer.Wait(ctx, permit.Wait()) != nil {
-		h.cancelPermit(permit)
+		h.limit.Cancel(permit)
 		return permit, Expired{}
 	}
 	return permit, nil
 }
-
-func (h *Host) cancelPermit(permit bflimit.Permit) { h.limit.Cancel(permit, h.config.Timer.Now()) }
--- a/lib/bfhost/limit_test.go
+++ b/lib/bfhost/limit_test.go
@@ -1,8 +1,10 @@
 package bfhost
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -76,3 +78,32 @@
 	j.KnownLimit = bflimit.Known{Start: bflimit.Start{Incarnation: "a"}, Limit: bflimit.PerSecond(0.5)}
 	r.Equal(r.run(j), "200 hello")
 }
+
+// Guards against a limit that is used up by requests that were never sent.
+func TestUnsentRequestsDoNotCountAgainstTheLimit(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	r := newFixture(t, func(w http.ResponseWriter, q *http.Request) {
+		w.Header().Set(names.Limit, "20")
+		if strings.HasPrefix(q.Header.Get(names.RequestID), "slow") {
+			<-release
+		}
+		hello(w, q)
+	})
+	r.heartbeat("a", 1, Ready)
+	r.Equal(r.run(job("1")), "200 hello")
+	time.Sleep(300 * time.Millisecond)
+	for at := range 2 { // both slots
+		r.group.Go("slow", func(context.Context) error {
+			r.run(job(fmt.Sprint("slow", at)))
+			return nil
+		})
+	}
+	for r.runs.Load() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(300 * time.Millisecond) // the burst is available again
+	for at := range 100 {
+		r.Equal(r.run(job(fmt.Sprint("full", at))), "refused full")
+	}
+}
--- a/lib/bflimit/keeper.go
+++ b/lib/bflimit/keeper.go
@@ -83,10 +83,10 @@
 }
 
 // Cancel gives back the permit of a request that was not sent.
-func (k *Keeper) Cancel(permit Permit, now time.Time) {
+func (k *Keeper) Cancel(permit Permit) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	permit.cancel(now)
+	permit.cancel()
 }
 
 // Slots returns how many of a target's slots the limit lets requests use that hold one for a time.
--- a/lib/bflimit/limiter.go
+++ b/lib/bflimit/limiter.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"math"
 	"time"
-
-	"golang.org/x/time/rate"
 )
 
 const (
@@ -23,8 +21,8 @@
 // Limiter admits requests to one start of a target at the rate that the target names. It is not
 // safe for concurrent use.
 type Limiter struct {
-	// tokens is nil while there is no limit.
-	tokens *rate.Limiter
+	// bucket is nil while there is no limit.
+	bucket *bucket
 }
 
 // Request holds the properties of a request that a Limiter uses.
@@ -48,17 +46,17 @@
 
 // Permit allows one request to be sent after a wait.
 type Permit struct {
-	wait   time.Duration
-	tokens *rate.Reservation
+	wait time.Duration
+	from *bucket
 }
 
 // Wait returns how long after Admit the request may be sent.
 func (p Permit) Wait() time.Duration { return p.wait }
 
 // cancel gives back the permit of a request that was not sent.
-func (p Permit) cancel(now time.Time) {
-	if p.tokens != nil {
-		p.tokens.CancelAt(now)
+func (p Permit) cancel() {
+	if p.from != nil {
+		p.from.tokens++
 	}
 }
 
@@ -66,48 +64,62 @@
 func (l *Limiter) Set(limit Statement, now time.Time) {
 	switch limit := limit.(type) {
 	case Unlimited:
-		l.tokens = nil
+		l.bucket = nil
 	case PerSecond:
 		perSecond := max(float64(limit), minPerSecond)
-		burst := minBurst + int(math.Floor(perSecond*burstTime.Seconds()))
-		if l.tokens == nil {
-			l.tokens = rate.NewLimiter(rate.Limit(perSecond), burst)
-			l.tokens.AllowN(now, burst)
-			return
+		if l.bucket == nil {
+			l.bucket = &bucket{at: now}
 		}
-		l.tokens.SetLimitAt(now, rate.Limit(perSecond))
-		l.tokens.SetBurstAt(now, burst)
+		l.bucket.fill(now)
+		l.bucket.perSecond, l.bucket.burst = perSecond, minBurst+perSecond*burstTime.Seconds()
 	}
 }
 
 // Admit returns a permit to send a request. It returns a LimitedError if the limit allows none within
 // the wait of the request.
 func (l *Limiter) Admit(request Request, now time.Time) (Permit, error) {
-	if l.tokens == nil {
+	if l.bucket == nil {
 		return Permit{}, nil
 	}
-	if missing := 1 + lateReserve - l.tokens.TokensAt(now); request.Late && missing > 0 {
-		return Permit{}, &LimitedError{RetryAfter: l.timeFor(missing)}
+	l.bucket.fill(now)
+	needed, maxWait := 1.0, request.MaxWait
+	if request.Late {
+		needed, maxWait = 1+lateReserve, 0
 	}
-	reservation := l.tokens.ReserveN(now, 1)
-	wait := reservation.DelayFrom(now)
-	if wait > request.MaxWait {
-		reservation.CancelAt(now)
+	if wait := l.bucket.waitFor(needed); wait > maxWait {
 		return Permit{}, &LimitedError{RetryAfter: wait}
 	}
-	return Permit{wait: wait, tokens: reservation}, nil
+	wait := l.bucket.waitFor(1)
+	l.bucket.tokens--
+	return Permit{wait: wait, from: l.bucket}, nil
+}
+
+// bucket is a token bucket. Its tokens are negative while permitted requests wait.
+type bucket struct {
+	perSecond, burst, tokens float64
+	// at is the time as of which tokens is known.
+	at time.Time
+}
+
+// fill adds the tokens of the time that has passed.
+func (b *bucket) fill(now time.Time) {
+	if passed := now.Sub(b.at); passed > 0 {
+		b.tokens += b.perSecond * passed.Seconds()
+		b.at = now
+	}
+	b.tokens = min(b.tokens, b.burst)
 }
 
-// timeFor returns the time in which the limit allows a number of requests.
-func (l *Limiter) timeFor(requests float64) time.Duration {
-	return time.Duration(requests / float64(l.tokens.Limit()) * float64(time.Second))
+// waitFor returns the time until there is a number of tokens.
+func (b *bucket) waitFor(tokens float64) time.Duration {
+	return time.Duration(math.Ceil(max(tokens-b.tokens, 0) / b.perSecond * float64(time.Second)))
 }
 
 // Slots returns how many of a target's slots the limit lets requests use that hold one for a time.
 func (l *Limiter) Slots(slots int, hold time.Duration) int {
-	if l.tokens == nil {
+	if l.bucket == nil {
 		return slots
 	}
-	used := math.Ceil(float64(l.tokens.Limit()) * hold.Seconds())
+	used := math.Ceil(l.bucket.perSecond * hold.Seconds())
 	return min(slots, max(int(used), 1))
 }
--- a/lib/bflimit/limiter_test.go
+++ b/lib/bflimit/limiter_test.go
@@ -64,7 +64,7 @@
 				switch {
 				case err != nil:
 				case rapid.IntRange(0, 9).Draw(t, "outcome") == 0:
-					permit.cancel(start.Add(now))
+					permit.cancel()
 				default:
 					sent = append(sent, now+permit.Wait())
 				}
@@ -130,3 +130,18 @@
 	is.Equal(l.Slots(9, 10*time.Second), 9)
 	is.Equal(l.Slots(9, 0), 1)
 }
+
+// Guards against a limit that is used up by requests that were not sent.
+func TestCancelledPermitsDoNotCount(t *testing.T) {
+	is := is.New(t)
+	var l Limiter
+	l.Set(PerSecond(10), start)
+	now := start.Add(time.Second)
+	for range 100 {
+		permit, err := l.Admit(Request{}, now)
+		is.NoErr(err)
+		now = now.Add(time.Millisecond)
+		permit.cancel()
+	}
+	is.True(len(admitted(&l, Request{}, make([]time.Duration, 100))) <= int(minBurst+10*burstTime.Seconds()))
+}
