--- a/lib/bffollow/follow_test.go
+++ b/lib/bffollow/follow_test.go
@@ -384,3 +384,15 @@
 		is.Equal(changes.Load(), int32(1))
 	})
 }
+
+// Guards against a node that never again reads a store which has become much slower at once.
+func TestStoreThatSlowsDownAtOnceIsReadAgain(t *testing.T) {
+	runReader(t, 0, func(is *is.I, store *faultyStore, f *Follower, _ *atomic.Int32) {
+		time.Sleep(10 * time.Second)
+		store.mu.Lock()
+		store.latency = 950 * time.Millisecond
+		store.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		is.True(f.Follows())
+	})
+}
--- a/lib/bfnews/delayed_test.go
+++ b/lib/bfnews/delayed_test.go
@@ -213,3 +213,20 @@
 	node.recordReceipt(update{Peer: "b", Fresh: true})
 	is.True(node.ReceivesFresh())
 }
+
+// Guards against followers that read the store although another one has begun to update them: its first
+// update proves nothing yet, and the next one would come after their timeout.
+func TestFirstUpdateIsProvedAtOnce(t *testing.T) {
+	group := bfgroup.New(context.Background())
+	defer group.Cancel()
+	timer := bftimer.New(1)
+	group.Go("timer", timer.Run)
+	_, senderAddress, sender := startExchange(t, group, timer, true)
+	_, address, receiver := startExchange(t, group, timer, true)
+	began := time.Now()
+	sender.pushTo(update{Peer: senderAddress, Fresh: true, Proves: true}, address)
+	waitFor(t, "the receiver counts an update", receiver.ReceivesFresh)
+	if took := time.Since(began); took >= pushInterval {
+		t.Fatalf("the update counted after %v", took)
+	}
+}
