--- a/lib/bffleet/start.go
+++ b/lib/bffleet/start.go
@@ -55,7 +55,7 @@
 }
 
 func (t *Target) isStart(of bflimit.Start) bool {
-	return of.Incarnation != "" && of.Incarnation == t.member.Incarnation && of.Started.Equal(t.member.Started())
+	return of.Incarnation != "" && of.Equal(bflimit.Start{Incarnation: t.member.Incarnation, Started: t.member.Started()})
 }
 
 // ReportLimit records the limit of the target as reported by its node. The limit of another start than
--- a/lib/bflimit/keeper.go
+++ b/lib/bflimit/keeper.go
@@ -5,18 +5,6 @@
 	"time"
 )
 
-// Start identifies one start of a target, whose limit ends with it.
-type Start struct {
-	// Incarnation is the name that the target chose.
-	Incarnation string
-	// Started is the target's start time by its own clock, zero if not reported.
-	Started time.Time
-}
-
-func (s Start) equal(other Start) bool {
-	return s.Incarnation == other.Incarnation && s.Started.Equal(other.Started)
-}
-
 // Keeper keeps the limit that the running start of a target names, from its answers. It is safe for
 // concurrent use.
 type Keeper struct {
@@ -54,7 +42,7 @@
 
 // follow forgets the limit of an earlier start. k.mu must be held.
 func (k *Keeper) follow(start Start) {
-	if !k.start.equal(start) {
+	if !k.start.Equal(start) {
 		k.start, k.limit, k.namedAt, k.limiter = start, nil, time.Time{}, Limiter{}
 	}
 }
@@ -62,7 +50,7 @@
 // Adopt applies a limit that another node knows of a start, if that is the running one and no answer of
 // it has arrived yet: a node that restarts must not forget a limit that its target has named.
 func (k *Keeper) Adopt(start Start, known Known, now time.Time) {
-	if _, named := known.Limit.(PerSecond); !named || !start.equal(known.Start) {
+	if _, named := known.Limit.(PerSecond); !named || !start.Equal(known.Start) {
 		return
 	}
 	k.mu.Lock()
