Soak: a target has said that it leaves once an answer has said so

Trace (logs of n3): the store was silent, slow and down while the fleet started, all nodes knew one member until 43.186, and the target got no request before. Its first answer said that it leaves, and its node closed to it at 43.238, 52 ms later. The check counted from when the target was told to leave, not from its first answer; it counts from that now.

--- a/bftrial/internal/bfsimtarget/target.go
+++ b/bftrial/internal/bfsimtarget/target.go
@@ -69,6 +69,8 @@
 	// leaving has the answers say that the target leaves, nests has a part of the runs make a nested
 	// call.
 	leaving, nests atomic.Bool
+	// saidLeaving is when the first answer said that the target leaves, nil before.
+	saidLeaving atomic.Pointer[time.Time]
 }
 
 var incarnations atomic.Int64
@@ -125,6 +127,14 @@
 // SayLeaving has all answers say from now on that the target leaves; its heartbeats don't.
 func (t *Target) SayLeaving() { t.leaving.Store(true) }
 
+// SaidLeaving returns when an answer first said that the target leaves; ok is false before.
+func (t *Target) SaidLeaving() (at time.Time, ok bool) {
+	if said := t.saidLeaving.Load(); said != nil {
+		return *said, true
+	}
+	return time.Time{}, false
+}
+
 // Exit ends the target without a word.
 func (t *Target) Exit() {
 	t.state.Store(0)
@@ -162,6 +172,8 @@
 	t.writeLimit(w.Header())
 	if t.leaving.Load() {
 		w.Header().Set(headers.Leaving, "1")
+		now := time.Now()
+		t.saidLeaving.CompareAndSwap(nil, &now)
 	}
 	defer t.inFlight.Add(-1)
 	if t.inFlight.Add(1) > Slots {
