--- a/bftrial/internal/bfrunlog/doc.go
+++ b/bftrial/internal/bfrunlog/doc.go
@@ -1,3 +1,3 @@
 // Package bfrunlog records what simulated targets ran, so that a soak can compare it with what
-// callers were told.
+// callers received.
 package bfrunlog
--- a/lib/bfentry/limit_test.go
+++ b/lib/bfentry/limit_test.go
@@ -40,8 +40,8 @@
 	m.True(float64(m.nodes[1].runs.Load()) >= requests-got)
 }
 
-// Guards against requests that wait for a target beyond its limit, or are refused without a time to
-// come back, where no target has room.
+// Guards against requests that wait for a target beyond its limit, or are refused without a retry
+// delay, where no target has room.
 func TestRequestsBeyondAllLimitsAreRefusedAtOnce(t *testing.T) {
 	m := newMesh(t, generous, limited("2"))
 	answer, _ := m.send(http.MethodPost, "/approve/first", nil)
@@ -59,8 +59,8 @@
 	m.Equal(answer, "200 hello")
 }
 
-// Guards against a limit that is lost when the target's node restarts: the entry tells it again.
-func TestEntryTellsARestartedNodeTheLimit(t *testing.T) {
+// Guards against a limit that is lost when the target's node restarts: the entry sends it with the next request.
+func TestEntrySendsARestartedNodeTheLimit(t *testing.T) {
 	m := newMesh(t, generous, limited("3"))
 	m.fleet.Replace([]bffleet.Member{{Inbound: m.nodes[0].address(), Service: "portal", Domain: "nord", Slots: slots, Incarnation: "a"}})
 	m.send(http.MethodPost, "/approve/first", nil)
--- a/lib/bflimit/keeper.go
+++ b/lib/bflimit/keeper.go
@@ -84,7 +84,7 @@
 	return k.limiter.Slots(slots, hold)
 }
 
-// Known is the limit that a start of a target has named, as nodes tell each other; nil is none.
+// Known is the limit that a start of a target has named, as nodes exchange it; nil is none.
 type Known struct {
 	Start Start
 	Limit Statement
--- a/lib/bflimit/limiter.go
+++ b/lib/bflimit/limiter.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// minPerSecond is the rate of a target that names a lower limit, also zero: only its answers
-	// tell when the limit has ended.
+	// minPerSecond is the rate of a target that names a lower limit, also zero: only an answer
+	// shows that the limit has ended.
 	minPerSecond = 0.25
 	// burstTime is the time whose requests may come at once, beside minBurst.
 	burstTime = 250 * time.Millisecond
--- a/lib/bflimit/limiter_test.go
+++ b/lib/bflimit/limiter_test.go
@@ -84,7 +84,7 @@
 	})
 }
 
-// Guards against a refused request that is told a time at which it is refused again.
+// Guards against a retry delay after which the request is refused again.
 func TestRefusedRequestIsAdmittedLater(t *testing.T) {
 	is := is.New(t)
 	var l Limiter
