--- a/lib/bflimit/limiter.go
+++ b/lib/bflimit/limiter.go
@@ -13,8 +13,8 @@
 	// burstTime is the time whose requests may come at once, beside minBurst.
 	burstTime = 250 * time.Millisecond
 	minBurst  = 2
-	// lateReserve is how many requests a late one must leave room for: it is lost to its caller
-	// already, and others would become late by it.
+	// lateReserve is how many requests a late one must leave room for, since those would become late
+	// by it.
 	lateReserve = 1
 )
 
