bfquarantine: nodes with full books keep the same records and forward no others

What callers saw: on the large deployment, when a third of the targets crash, a few nodes of each domain end by "memory over the limit", with all requests that they carry.

Cause: a book keeps 512 suspected contents. Merge reported a record as new also when the bound dropped it at once, so it was forwarded; at a peer with a full book it was new again, and so on without end. Which ones were dropped followed each node's own estimate of the time of the crash, so two full books never became equal either. Besides, a transfer of more than a second made the last crash look later by as much: the record counted as new, and was forwarded, at each hop of a slow link.

The loop begins when 512 contents are exceeded (20 s) and needs no load.

Now: records carry a hybrid logical clock of their last crash; the bounds keep the latest by it, alike at all nodes. Only a record that is kept is new. An equal stamp is the same crash, whatever the transfer took. What waits to be sent is a set of contents in the book. Records with one crash, two and three or more have bounds of their own, also after they were cleared: a flood evicts neither a suspect nor the news of a release.

--- a/lib/bfquarantine/list.go
+++ b/lib/bfquarantine/list.go
@@ -32,7 +32,7 @@
 			callers[mark.Caller] = true
 		}
 		items = append(items, Item{
-			Content: content, Worst: judge(r.most, r.last, now, 1), Crashes: r.distinctCrashes(), Callers: len(callers), Last: r.last,
+			Content: content, Worst: judge(r.most, r.last.at, now, 1), Crashes: r.distinctCrashes(), Callers: len(callers), Last: r.last.at,
 		})
 	}
 	slices.SortFunc(items, func(x, y Item) int { return y.Last.Compare(x.Last) })
--- a/lib/bfquarantine/record.go
+++ b/lib/bfquarantine/record.go
@@ -34,15 +34,51 @@
 	// AgeMilli is the time since the last crash in milliseconds. It is an age and not a
 	// time of day, since the clocks of two nodes may differ.
 	AgeMilli int64 `cbor:"4,keyasint,omitempty"`
+	// Stamp orders the last crashes of all contents alike at all nodes; 0 in records of earlier
+	// releases.
+	Stamp uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+const (
+	// recordBytes bounds the encoded size of a Record without marks, markBytes that of a mark.
+	recordBytes = 48
+	markBytes   = 21
+)
+
+// size returns an upper bound of the encoded size in bytes.
+func (r Record) size() int { return recordBytes + markBytes*(len(r.Crashes)+len(r.Cleared)) }
+
+// moment is when a crash occurred.
+type moment struct {
+	// at is the local time. It is estimated from an age for a crash that another node observed.
+	at time.Time
+	// stamp is a hybrid logical clock: the time of day in milliseconds, or one more than any
+	// stamp that the observing node knew. 0 means unknown.
+	stamp uint64
+}
+
+// maxStamp bounds the stamps of received records, so that a damaged one can't overflow the clock.
+const maxStamp = 1 << 62
+
+// latest returns the later moment. The moment with an equal stamp is the same crash, whose first
+// estimate is closer: each transfer adds its delay.
+func (m moment) latest(o moment) moment {
+	if o.stamp > m.stamp || o.stamp == 0 && m.stamp == 0 && o.at.After(m.at) {
+		return o
+	}
+	return m
 }
 
 // record is a node's state of one content. It is immutable.
 type record struct {
 	crashes, cleared []CrashMark
-	last             time.Time
+	last             moment
 	// most is the largest count of any caller, digest a hash of the marks.
 	most   int
 	digest uint64
+	// evidence is the number of distinct crashes in all marks, at most crashLimit. It never
+	// decreases, so that a record that was cleared is not evicted before other nodes have it.
+	evidence int
 }
 
 // count returns the number of crashes that count against a caller's request.
@@ -70,31 +106,38 @@
 
 // distinctCrashes returns the number of targets that crashed, over all callers.
 func (r record) distinctCrashes() int {
-	distinct := make(map[Crash]bool, len(r.crashes))
-	for _, mark := range r.crashes {
-		distinct[mark.Crash] = true
+	return countCrashes(r.crashes)
+}
+
+// countCrashes returns the number of distinct crashes in lists of marks.
+func countCrashes(lists ...[]CrashMark) int {
+	distinct := map[Crash]bool{}
+	for _, marks := range lists {
+		for _, mark := range marks {
+			if mark.Crash != 0 {
+				distinct[mark.Crash] = true
+			}
+		}
 	}
 	return len(distinct)
 }
 
 // expiresAt returns the time from which the record has no effect.
 func (r record) expiresAt() time.Time {
-	return r.last.Add(maxStretch*holdTime(r.most) + retention)
+	return r.last.at.Add(maxStretch*holdTime(r.most) + retention)
 }
 
 // merged returns the record merged with more marks.
-func (r record) merged(crashes, cleared []CrashMark, last time.Time) record {
-	next := record{cleared: union(r.cleared, cleared), last: r.last}
+func (r record) merged(crashes, cleared []CrashMark, last moment) record {
+	next := record{cleared: union(r.cleared, cleared), last: r.last.latest(last)}
 	next.crashes = slices.DeleteFunc(union(r.crashes, crashes), func(m CrashMark) bool {
 		_, found := slices.BinarySearchFunc(next.cleared, m, compareMarks)
 		return found
 	})
-	if last.After(next.last) {
-		next.last = last
-	}
 	for _, mark := range next.crashes {
 		next.most = max(next.most, next.count(mark.Caller))
 	}
+	next.evidence = max(r.evidence, min(countCrashes(next.crashes, next.cleared), crashLimit))
 	next.digest = digest(next.crashes, next.cleared)
 	return next
 }
@@ -153,6 +196,6 @@
 func (r record) export(content Content, now time.Time) Record {
 	return Record{
 		Content: content[:], Crashes: r.crashes, Cleared: r.cleared,
-		AgeMilli: max(now.Sub(r.last).Milliseconds(), 0),
+		AgeMilli: max(now.Sub(r.last.at).Milliseconds(), 0), Stamp: r.last.stamp,
 	}
 }
--- a/lib/bfquarantine/view.go
+++ b/lib/bfquarantine/view.go
@@ -57,7 +57,7 @@
 	if !found {
 		return Free{}
 	}
-	return judge(r.count(key.Caller), r.last, now, v.stretch(key.Content))
+	return judge(r.count(key.Caller), r.last.at, now, v.stretch(key.Content))
 }
 
 func (v *View) isFree(key Key, now time.Time) bool {
@@ -72,7 +72,7 @@
 	if !found {
 		return Held{}, false
 	}
-	held, refused = judge(r.count(key.Caller), r.last, now, 1).(Held)
+	held, refused = judge(r.count(key.Caller), r.last.at, now, 1).(Held)
 	return held, refused
 }
 
--- a/lib/bfrumor/exchange.go
+++ b/lib/bfrumor/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -55,17 +54,10 @@
 type Exchange struct {
 	config    Config
 	comparing atomic.Bool
-	// wake signals Run that records were received.
-	wake chan struct{}
-
-	mu sync.Mutex
-	// received holds records from other nodes that were new to this one and are to be
-	// forwarded.
-	received []bfquarantine.Record
 }
 
 // New returns the exchange of a node.
-func New(config Config) *Exchange { return &Exchange{config: config, wake: make(chan struct{}, 1)} }
+func New(config Config) *Exchange { return &Exchange{config: config} }
 
 // message is the request of a call.
 type message struct {
@@ -99,24 +91,16 @@
 		case <-ctx.Done():
 			return nil
 		case <-e.config.Book.Changed():
-		case <-e.wake:
 		}
-		sent := e.send(e.config.Recipients(true), e.config.Book.TakeUpdates(e.config.Timer.Now()))
-		sent += e.send(e.config.Recipients(false), e.takeReceived())
+		now := e.config.Timer.Now()
+		sent := e.send(e.config.Recipients(true), e.config.Book.TakeUpdates(now))
+		sent += e.send(e.config.Recipients(false), e.config.Book.TakeReceived(now))
 		if e.config.Timer.Wait(ctx, batchPause+time.Duration(sent)*peerPause) != nil {
 			return nil
 		}
 	}
 }
 
-func (e *Exchange) takeReceived() []bfquarantine.Record {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	received := e.received
-	e.received = nil
-	return received
-}
-
 // send sends records to peers and returns the number of peers. Failed calls are not retried:
 // the peer's digest will differ, and a comparison repairs it.
 func (e *Exchange) send(peers []string, records []bfquarantine.Record) (sent int) {
@@ -172,19 +156,9 @@
 	return nil
 }
 
-// Merge adds records to the book and forwards those that are new to this node.
+// Merge adds records to the book, which schedules those that are new to this node for forwarding.
 func (e *Exchange) Merge(records []bfquarantine.Record) {
-	added := e.config.Book.Merge(records, e.config.Timer.Now())
-	if len(added) == 0 {
-		return
-	}
-	e.mu.Lock()
-	e.received = append(e.received, added...)
-	e.mu.Unlock()
-	select {
-	case e.wake <- struct{}{}:
-	default:
-	}
+	e.config.Book.Merge(records, e.config.Timer.Now())
 }
 
 // ObserveDigest receives the digest of a peer, and starts a comparison with the peer if it
