bfpeer: what waits for slow peers, and what is served at a time, has bounds

Nothing bounded the messages that wait for a peer: each call held its parameters until they were written, each answer likewise, whatever sent them; crash records were only the first to show it. Updates with many changes, polls with a full configuration and roll-outs take the same way. A peer could also have any number of its calls served at a time, each a goroutine with its parameters.

Now calls and answers are counted in bytes until they are written, also after their caller has given up: 1 MiB for a peer, 16 MiB in all, and one message of any size where nothing waits. What exceeds it is not sent (UnsentError, counted): each sender already copes with a call that is lost. At most 64 calls of a connection are served at a time, with 32 MiB of parameters over all connections; its next message is read after that.

--- a/bfnode/internal/bfmesh/metrics.go
+++ b/bfnode/internal/bfmesh/metrics.go
@@ -24,6 +24,7 @@
 	gauge("link_backlog_ms", func() int64 { return n.pacer.Backlog().Milliseconds() })
 	gauge("quarantine_contents", func() int64 { return int64(n.quarantine.View().Len()) })
 	gauge("quarantine_holds", func() int64 { return boolToInt(n.quarantine.View().HasHeld()) })
+	gauge("control_unsent_bytes", func() int64 { return int64(n.calls.Unsent()) })
 	gauge("log_lines_dropped", n.logger.Dropped)
 	n.metrics.Publish("node")
 }
--- a/lib/bfpeer/call.go
+++ b/lib/bfpeer/call.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"golang.org/x/exp/jsonrpc2"
+	"golang.org/x/sync/semaphore"
 
 	"bilberryflow.org/lib/bfgroup"
 )
@@ -31,6 +32,9 @@
 	traffic *Traffic
 	group   *bfgroup.Group
 	dialer  net.Dialer
+	unsent  unsent
+	// serving bounds the calls of all connections that are being served.
+	serving *semaphore.Weighted
 
 	mu    sync.Mutex
 	conns map[string]*pooledConn
@@ -38,7 +42,8 @@
 
 // pooledConn is a connection to one peer.
 type pooledConn struct {
-	conn *jsonrpc2.Connection
+	address string
+	conn    *jsonrpc2.Connection
 	// lastUsed is when the latest call began.
 	lastUsed time.Time
 	// ended is cancelled once the connection can't deliver any more answers.
@@ -55,6 +60,7 @@
 	return &Calls{
 		methods: methods, traffic: traffic, group: group,
 		dialer: net.Dialer{Timeout: dialTimeout}, conns: map[string]*pooledConn{},
+		serving: semaphore.NewWeighted(maxServing),
 	}
 }
 
@@ -74,7 +80,7 @@
 // disconnects or sends malformed messages would otherwise leak a file descriptor.
 func (c *Calls) Bind(_ context.Context, conn *jsonrpc2.Connection) (jsonrpc2.ConnectionOptions, error) {
 	options := c.options()
-	options.Preempter = &handler{calls: c, conn: conn}
+	options.Preempter = &handler{calls: c, conn: conn, serving: newServing(c.serving)}
 	c.group.Go("watch connection", func(context.Context) error {
 		// The error is irrelevant here: Call reports it to the pending calls.
 		_ = conn.Wait()
@@ -91,8 +97,9 @@
 // call is queued on a connection that has ended, jsonrpc2's queue is a busy loop, and a node that
 // resumes after a pause with hundreds of such connections would do nothing else for seconds.
 type handler struct {
-	calls *Calls
-	conn  *jsonrpc2.Connection
+	calls   *Calls
+	conn    *jsonrpc2.Connection
+	serving *serving
 }
 
 // Preempt starts serving one call.
@@ -105,15 +112,38 @@
 		_, err := method.Handle(ctx, request.Params)
 		return nil, err
 	}
+	size := len(request.Params)
+	if err := h.serving.acquire(h.calls.group.Context(), size); err != nil {
+		return nil, err
+	}
 	h.calls.group.Go("call "+request.Method, func(context.Context) error {
+		defer h.serving.release(size)
 		result, err := method.Handle(ctx, request.Params)
-		// If the peer has disconnected, it retries at another node.
-		_ = h.conn.Respond(request.ID, result, err)
+		h.respond(request.ID, result, err)
 		return nil
 	})
 	return nil, jsonrpc2.ErrAsyncResponse
 }
 
+// respond sends the answer of a call, or an UnsentError if too much waits for slow connections.
+func (h *handler) respond(id jsonrpc2.ID, result any, err error) {
+	var data json.RawMessage
+	if err == nil {
+		data, err = json.Marshal(result)
+	}
+	if err == nil {
+		if err = h.calls.reserve(h, len(data)); err == nil {
+			defer h.calls.unsent.release(h, len(data))
+		}
+	}
+	// If the peer has disconnected, it retries at another node.
+	if err != nil {
+		_ = h.conn.Respond(id, nil, err)
+		return
+	}
+	_ = h.conn.Respond(id, data, nil)
+}
+
 // Serve serves peers that connect to listener until ctx ends.
 func (c *Calls) Serve(ctx context.Context, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { listener.Close() })
@@ -182,10 +212,20 @@
 // send sends the call from a separate goroutine: jsonrpc2 serializes the writes of a
 // connection regardless of ctx, so a peer that stopped reading would delay the caller past
 // its deadline.
+//
+// The message counts as unsent until it is written, also after the caller has given up.
 func (c *Calls) send(ctx context.Context, conn *pooledConn, method string, params, result any) error {
+	data, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	if err := c.reserve(conn.address, len(data)); err != nil {
+		return &UnreachableError{Address: conn.address, Method: method, Reason: err}
+	}
 	sent := make(chan *jsonrpc2.AsyncCall, 1)
 	c.group.Go("send call", func(context.Context) error {
-		sent <- conn.conn.Call(ctx, method, params)
+		defer c.unsent.release(conn.address, len(data))
+		sent <- conn.conn.Call(ctx, method, json.RawMessage(data))
 		return nil
 	})
 	select {
@@ -208,7 +248,7 @@
 		return nil, err
 	}
 	ended, end := context.WithCancel(context.Background())
-	opened := &pooledConn{conn: conn, lastUsed: time.Now(), ended: ended, calls: 1}
+	opened := &pooledConn{address: address, conn: conn, lastUsed: time.Now(), ended: ended, calls: 1}
 	c.group.Go("watch calls", func(context.Context) error {
 		defer end()
 		// The calls only need to know that it ended.
--- a/lib/bfpeer/traffic.go
+++ b/lib/bfpeer/traffic.go
@@ -46,11 +46,14 @@
 type Traffic struct {
 	sent, received           [purposeCount]atomic.Int64
 	sentCount, receivedCount [purposeCount]atomic.Int64
+	// rejected counts the messages that were not sent because too many bytes waited.
+	rejected atomic.Int64
 }
 
 // NewTraffic makes counters and registers them in metrics.
 func NewTraffic(metrics *bfmetric.Registry) *Traffic {
 	t := &Traffic{}
+	metrics.Gauge("control_rejected_messages", t.rejected.Load)
 	for p := range purposeCount {
 		metrics.Gauge("control_sent_bytes_"+p.String(), t.sent[p].Load)
 		metrics.Gauge("control_received_bytes_"+p.String(), t.received[p].Load)
