--- a/lib/bfrumor/flood_test.go
+++ b/lib/bfrumor/flood_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"bilberryflow.org/lib/bfcodec"
 	"bilberryflow.org/lib/bfquarantine"
 )
 
@@ -98,6 +99,35 @@
 	f.eventually("the other peer has the records", func() bool { return holds(b) })
 }
 
+// Guards against a peer missing, until the next comparison, that a request is held because its
+// queue was full of less urgent records.
+func TestWorstRecordsFollowAnOverflow(t *testing.T) {
+	f := newFleet(t)
+	a := New(Config{Self: "a", Book: bfquarantine.New("a"), Timer: f.timer})
+	f.True(a.enqueue("b", []byte("in progress")))
+	for i := range maxQueued {
+		f.True(!a.enqueue("b", []byte{byte(i)}))
+	}
+	for i := range 3 {
+		f.crash(a, fmt.Sprint("crash ", i))
+	}
+	f.True(!a.enqueue("b", []byte("dropped")))
+	for i := range maxQueued {
+		data, ok := a.dequeue("b")
+		f.True(ok)
+		f.Equal(data, []byte{byte(i)})
+	}
+	data, ok := a.dequeue("b")
+	f.True(ok)
+	var records []bfquarantine.Record
+	f.NoErr(bfcodec.Unmarshal(data, "crash records", &records))
+	f.Equal(len(records), 1)
+	f.Equal(len(records[0].Crashes), 3)
+	_, ok = a.dequeue("b")
+	f.True(!ok)
+	f.Equal(len(a.sending), 0)
+}
+
 // Guards against a comparison that never ends because the peer's pages don't advance.
 func TestComparisonEndsIfPagesDoNotAdvance(t *testing.T) {
 	f := newFleet(t)
