bfquarantine: all nodes remove an expired record within a second

Nodes swept expired records once a minute, each at its own time. In between their digests differed, so that each compared all its records with a peer each second, up to a minute long, ten minutes after the last crash.

--- a/lib/bfquarantine/book.go
+++ b/lib/bfquarantine/book.go
@@ -248,14 +248,15 @@
 	return held
 }
 
-// Sweep removes expired records.
+// Sweep removes expired records. It is cheap while there are none.
 func (b *Book) Sweep(now time.Time) {
-	if b.view.Load().Len() == 0 {
-		return
-	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.publish(maps.Clone(b.view.Load().records), now)
+	held := b.view.Load()
+	if held.Len() == 0 || now.Before(held.expires) {
+		return
+	}
+	b.publish(maps.Clone(held.records), now)
 }
 
 // publish removes expired records and those beyond the bounds, and replaces the view. It
--- a/lib/bfquarantine/flood_test.go
+++ b/lib/bfquarantine/flood_test.go
@@ -138,3 +138,17 @@
 		is.Equal(len(taken), maxNoted)
 	}
 }
+
+// Guards against nodes that remove the same expired records at different times and compare all
+// their records meanwhile.
+func TestExpiredRecordsAreRemovedAtTheNextSweep(t *testing.T) {
+	is := is.New(t)
+	b := New("n")
+	now := crashed(b, key("/bad", "c"), 1, start)
+	before := b.View()
+	b.Sweep(now.Add(retention - time.Second))
+	is.True(b.View() == before) // nothing to remove, nothing published
+	b.Sweep(now.Add(retention))
+	is.Equal(b.View().Len(), 0)
+	is.Equal(b.View().Digest(), uint64(0))
+}
--- a/lib/bfquarantine/view.go
+++ b/lib/bfquarantine/view.go
@@ -15,6 +15,8 @@
 	// digest of the records with at least crashLimit, 0 if there is none.
 	watches bool
 	held    uint64
+	// expires is when the first record expires, zero if there is none.
+	expires time.Time
 }
 
 func newView(self uint64, records map[Content]record) *View {
@@ -22,6 +24,9 @@
 	for content, r := range records {
 		digest := mix(r.digest ^ binary.BigEndian.Uint64(content[:]))
 		v.digest ^= digest
+		if at := r.expiresAt(); v.expires.IsZero() || at.Before(v.expires) {
+			v.expires = at
+		}
 		v.watches = v.watches || r.most >= crashLimit-1
 		if r.most >= crashLimit {
 			v.held ^= digest
--- a/lib/bfrumor/exchange.go
+++ b/lib/bfrumor/exchange.go
@@ -31,8 +31,9 @@
 	minCompareInterval = time.Second
 	// maxQueued bounds the encoded sets of records that wait for a peer.
 	maxQueued = 4
-	// sweepInterval is the time between removals of expired records.
-	sweepInterval = time.Minute
+	// sweepInterval is the time between removals of expired records. Nodes whose removals are
+	// further apart than two comparisons compare their records in between.
+	sweepInterval = time.Second
 )
 
 // Caller makes calls to peers; it is the subset of bfpeer.Calls that an Exchange needs.
