--- a/bftrial/internal/bfsoak/harness.go
+++ b/bftrial/internal/bfsoak/harness.go
@@ -79,6 +79,7 @@
 	runLog   *bfrunlog.Log
 	crashes  crashLog
 	outcomes outcomeLog
+	delays   delays
 	// crashing is held while a crashing request is being sent.
 	crashing sync.Mutex
 
@@ -122,6 +123,7 @@
 	}
 	defer func() {
 		if err != nil || len(h.violations) > 0 {
+			h.delays.write(out)
 			fleet.WriteLogs(out)
 		}
 		_ = fleet.Close()
@@ -147,6 +149,7 @@
 	if err := h.writeNextVersion(); err != nil {
 		return err
 	}
+	h.group.Go("delays", h.delays.watch)
 	h.group.Go("readiness", h.pollReadiness)
 	return h.awaitServing(30 * time.Second)
 }
