bfpeer: bulk data leaves room for small messages

A quarter of each bound is kept for messages up to 16 KiB, so that full configurations or pages of records for slow peers don't keep updates, questions about a request's fate and answers from being sent. Found on reading the bounds again.

--- a/lib/bfpeer/limit.go
+++ b/lib/bfpeer/limit.go
@@ -13,6 +13,9 @@
 	// maxUnsentPerPeer those to one peer.
 	maxUnsent        = 16 << 20
 	maxUnsentPerPeer = 1 << 20
+	// smallMessage is the size in bytes up to which a message may use all of these bounds; larger
+	// ones leave a quarter free, so that bulk data does not hold up updates and questions.
+	smallMessage = 16 << 10
 	// maxServing bounds the parameters in bytes of the calls that are being served, and
 	// maxServingPerConn the number of calls of one connection.
 	maxServing        = 32 << 20
@@ -46,7 +49,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	waiting := u.waiting[peer]
-	if waiting > 0 && waiting+size > maxUnsentPerPeer || u.total > 0 && u.total+size > maxUnsent {
+	if exceeds(waiting, size, maxUnsentPerPeer) || exceeds(u.total, size, maxUnsent) {
 		return &UnsentError{Bytes: size, Waiting: waiting, Total: u.total}
 	}
 	if u.waiting == nil {
@@ -57,6 +60,14 @@
 	return nil
 }
 
+// exceeds reports whether a message can't be added to those that wait within a limit.
+func exceeds(waiting, size, limit int) bool {
+	if size > smallMessage {
+		limit -= limit / 4
+	}
+	return waiting > 0 && waiting+size > limit
+}
+
 // release ends the count of a message.
 func (u *unsent) release(peer any, size int) {
 	u.mu.Lock()
--- a/lib/bfquarantine/book.go
+++ b/lib/bfquarantine/book.go
@@ -272,7 +272,7 @@
 		byEvidence[evidence] = append(byEvidence[evidence], content)
 	}
 	for evidence, contents := range byEvidence {
-		dropLowest(records, contents, maxRecords(evidence))
+		dropLowest(records, contents, maxByEvidence[evidence])
 	}
 	for _, pending := range []map[Content]bool{b.updated, b.received} {
 		maps.DeleteFunc(pending, func(content Content, _ bool) bool {
@@ -283,16 +283,8 @@
 	b.view.Store(newView(b.self, records))
 }
 
-// maxRecords returns the bound of the records with an amount of evidence.
-func maxRecords(evidence int) int {
-	switch {
-	case evidence >= crashLimit:
-		return maxHeld
-	case evidence == crashLimit-1:
-		return maxSuspected
-	}
-	return maxNoted
-}
+// maxByEvidence bounds the records with an amount of evidence.
+var maxByEvidence = [crashLimit + 1]int{crashLimit: maxHeld, crashLimit - 1: maxSuspected, 1: maxNoted}
 
 // dropLowest removes contents beyond a bound, those with the oldest last crash first.
 func dropLowest(records map[Content]record, contents []Content, limit int) {
