--- a/lib/bfpeer/limit_test.go
+++ b/lib/bfpeer/limit_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/semaphore"
 
 	"bilberryflow.org/lib/bfgroup"
 	"bilberryflow.org/lib/bfmetric"
@@ -180,3 +181,21 @@
 	}
 	is.Equal(most.Load(), int32(maxServingPerConn))
 }
+
+// Guards against a few connections with large calls taking all memory, and against a call that
+// could not be served keeping its place.
+func TestServedBytesOfAllConnectionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	all := semaphore.NewWeighted(maxServing)
+	one, other := newServing(all), newServing(all)
+	is.NoErr(one.acquire(t.Context(), maxServing))
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	is.True(errors.Is(other.acquire(ctx, 1), context.DeadlineExceeded))
+	is.Equal(len(other.conn), 0)
+	one.release(maxServing)
+	is.NoErr(other.acquire(t.Context(), maxServing+1)) // the largest call is served alone
+	is.True(!all.TryAcquire(1))
+	other.release(maxServing + 1)
+	is.True(all.TryAcquire(maxServing))
+}
