Records kept by route have a bound over all routes

Found by looking through what others can fill, after the crash records: a node kept up to 512 refused requests for each route (37 KB) and dropped expired ones only when the same route refused again. A configuration of 1,400 routes could keep 50 MB that way on a node of 184 MB, for good; routes that left the configuration kept theirs, their averages, hold times and counts of calls until the node's restart.

Refused requests now have a bound over all routes (8,192, 600 KB), expired ones of all routes go first, and a route without any has no entry. Beyond it a retry counts as a first attempt. Averages by route are reset at 16,384 routes; the routes in use have theirs again after their next requests.

The new tests do not compile on the code before, which has no such bounds. Buckets and rates by service, of which there are hundreds and not thousands, are left as they are.

--- a/lib/bfbudget/callcounts.go
+++ b/lib/bfbudget/callcounts.go
@@ -16,6 +16,9 @@
 // that make fewer calls.
 const decayRuns = 64
 
+// maxClasses bounds the classes: routes come and go with the configuration.
+const maxClasses = 1 << 14
+
 // minCalls is the estimate below which a class counts as not calling a service.
 const minCalls = 0.05
 
@@ -38,6 +41,9 @@
 		if h.byClass == nil {
 			h.byClass = map[string]map[string]float64{}
 		}
+		if len(h.byClass) >= maxClasses {
+			clear(h.byClass)
+		}
 		held = map[string]float64{}
 		h.byClass[class] = held
 	}
--- a/lib/bfentry/attempts.go
+++ b/lib/bfentry/attempts.go
@@ -14,6 +14,9 @@
 type attempts struct {
 	mu      sync.Mutex
 	byRoute map[string][]attempt
+	// total is the number of attempts of all routes, swept when the expired ones were last removed.
+	total int
+	swept time.Time
 }
 
 // attempt is a request that was not served.
@@ -35,15 +38,42 @@
 	// maxAttemptsPerRoute bounds the attempts kept per route: five seconds at a hundred
 	// refusals per second.
 	maxAttemptsPerRoute = 512
+	// maxAttempts bounds the attempts kept for all routes, of which a configuration may have
+	// thousands.
+	maxAttempts = 8192
+	// minSweepInterval is the minimum time between two removals of expired attempts of all routes.
+	minSweepInterval = 100 * time.Millisecond
 )
 
-// record adds a request that was not served and drops expired ones.
+// record adds a request that was not served and drops expired ones. Beyond maxAttempts it adds
+// none: a retry of the request then counts as a first attempt.
 func (s *attempts) record(route string, a attempt, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.byRoute == nil {
 		s.byRoute = map[string][]attempt{}
 	}
+	s.removeExpired(route, now)
+	if s.total >= maxAttempts && now.Sub(s.swept) >= minSweepInterval {
+		s.swept = now
+		for route := range s.byRoute {
+			s.removeExpired(route, now)
+		}
+	}
+	kept := s.byRoute[route]
+	if len(kept) == maxAttemptsPerRoute {
+		kept = append(kept[:0], kept[1:]...)
+		s.total--
+	}
+	if s.total >= maxAttempts {
+		return
+	}
+	s.byRoute[route] = append(kept, a)
+	s.total++
+}
+
+// removeExpired drops the attempts of a route whose callers have given up. The caller must hold mu.
+func (s *attempts) removeExpired(route string, now time.Time) {
 	recorded := s.byRoute[route]
 	kept := recorded[:0]
 	for _, old := range recorded {
@@ -51,10 +81,17 @@
 			kept = append(kept, old)
 		}
 	}
-	if len(kept) == maxAttemptsPerRoute {
-		kept = append(kept[:0], kept[1:]...)
+	s.total -= len(recorded) - len(kept)
+	s.keep(route, kept)
+}
+
+// keep sets the attempts of a route. The caller must hold mu.
+func (s *attempts) keep(route string, kept []attempt) {
+	if len(kept) == 0 {
+		delete(s.byRoute, route)
+		return
 	}
-	s.byRoute[route] = append(kept, a)
+	s.byRoute[route] = kept
 }
 
 // elapsed returns the time since the first attempt of the caller whose timeout ends
@@ -85,6 +122,7 @@
 		return attempt{}, false
 	}
 	earlier = recorded[best]
-	s.byRoute[route] = append(recorded[:best], recorded[best+1:]...)
+	s.total--
+	s.keep(route, append(recorded[:best], recorded[best+1:]...))
 	return earlier, true
 }
--- a/lib/bfentry/attempts_test.go
+++ b/lib/bfentry/attempts_test.go
@@ -1,6 +1,7 @@
 package bfentry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -45,3 +46,46 @@
 	s.record("route", attempt{deadline: began.Add(time.Hour)}, began.Add(59*time.Minute))
 	is.Equal(len(s.byRoute["route"]), 1)
 }
+
+// Guards against refused requests of many routes taking a node's memory, also long after their
+// callers have given up.
+func TestAttemptsOfManyRoutesAreBounded(t *testing.T) {
+	is := is.New(t)
+	began := time.Unix(1000, 0)
+	var s attempts
+	count := func() (total int) {
+		for _, recorded := range s.byRoute {
+			total += len(recorded)
+		}
+		return total
+	}
+	for i := range 4 * maxAttempts {
+		s.record(fmt.Sprint("route ", i%2000), attempt{firstArrival: began, retryAt: began, deadline: began.Add(time.Second)}, began)
+		is.True(s.total <= maxAttempts)
+	}
+	is.Equal(count(), maxAttempts)
+	is.Equal(s.total, maxAttempts)
+	later := began.Add(2 * time.Second)
+	s.record("another", attempt{firstArrival: later, retryAt: later, deadline: later.Add(time.Second)}, later)
+	is.Equal(count(), 1)
+	is.Equal(s.total, 1)
+	is.Equal(len(s.byRoute), 1)
+	_, found := s.take("another", later.Add(time.Second), later)
+	is.True(found)
+	is.Equal(s.total, 0)
+	is.Equal(len(s.byRoute), 0)
+}
+
+// Guards against the averages of routes that left the configuration taking a node's memory.
+func TestMeansOfFormerRoutesAreBounded(t *testing.T) {
+	is := is.New(t)
+	var s routeMeans
+	for i := range 2 * maxRouteMeans {
+		s.add(fmt.Sprint("route ", i), 7)
+	}
+	size := 0
+	s.byRoute.Range(func(any, any) bool { size++; return true })
+	is.True(size <= maxRouteMeans)
+	s.add("in use", 7)
+	is.Equal(s.get("in use"), int64(7))
+}
--- a/lib/bfentry/means.go
+++ b/lib/bfentry/means.go
@@ -5,16 +5,29 @@
 	"sync/atomic"
 )
 
-// routeMeans holds a moving average for each route; the zero value is empty. Its size is
-// bounded by the number of routes in the configuration.
-type routeMeans struct{ byRoute sync.Map }
+// routeMeans holds a moving average for each route; the zero value is empty.
+type routeMeans struct {
+	byRoute sync.Map
+	size    atomic.Int64
+}
+
+// maxRouteMeans bounds the averages: routes come and go with the configuration.
+const maxRouteMeans = 1 << 14
 
 // meanDivisor sets the weight of one value in the average, 1/meanDivisor.
 const meanDivisor = 10
 
 // add updates the route's average with a value.
 func (s *routeMeans) add(route string, value int64) {
-	entry, _ := s.byRoute.LoadOrStore(route, new(atomic.Int64))
+	entry, found := s.byRoute.Load(route)
+	if !found {
+		entry, found = s.byRoute.LoadOrStore(route, new(atomic.Int64))
+	}
+	if !found && s.size.Add(1) > maxRouteMeans {
+		// The routes in use have an average again after their next requests.
+		s.byRoute.Clear()
+		s.size.Store(0)
+	}
 	mean := entry.(*atomic.Int64)
 	before := mean.Load()
 	if before == 0 {
--- a/lib/bfslot/queue.go
+++ b/lib/bfslot/queue.go
@@ -142,6 +142,8 @@
 	// averages are taken; the average over all classes varies more and needs more.
 	classWindow   = 10
 	overallWindow = 30
+	// maxClasses bounds the classes: routes come and go with the configuration.
+	maxClasses = 1 << 14
 )
 
 // expectedHold returns how long a request of the class is expected to hold a slot.
@@ -166,6 +168,9 @@
 // Release frees the slot of a request of a class that held it for the time given, and
 // returns the waiting requests that got a slot.
 func (q *Queue) Release(class string, held time.Duration) []*Ticket {
+	if _, known := q.meanHoldByClass[class]; !known && len(q.meanHoldByClass) >= maxClasses {
+		clear(q.meanHoldByClass)
+	}
 	q.meanHoldByClass[class] = updateMean(q.meanHoldByClass[class], held, classWindow)
 	q.meanHold = updateMean(q.meanHold, held, overallWindow)
 	q.used--
