bfnews: a node that has left the member list reads the store at once

Cause: a node removes its row when its target leaves. The relays drop it with the row and send it no more updates, while it still takes itself for a follower and waits for them: 1.2 s, and up to 1.2 s more by its rank. Until then it learns of versions by chance, from a poll each two seconds.

Now the node knows that its row was removed as it wanted (Presence.Withdrawn) and follows the store from that moment, as it did before after the timeout. New nodes, whose row never existed, wait as before; so does one that is stopped as planned, which keeps its row.

--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -176,6 +176,7 @@
 	n.news = bfnews.New(bfnews.Config{
 		Self: n.common.Peer, Place: place(n.common, n.settings), FirstStart: n.settings.FirstStart, State: n.state,
 		Fleet: n.fleet, Calls: n.calls, Timer: n.timer, Logger: n.logger, Spawn: n.group.Go, Quarantine: n.rumor, Rollouts: n.conductor,
+		Withdrawn: n.presence.Withdrawn,
 	})
 	maps.Copy(methods, n.news.Methods())
 	maps.Copy(methods, n.rumor.Methods())
--- a/lib/bfnews/news.go
+++ b/lib/bfnews/news.go
@@ -103,6 +103,7 @@
 	spawn      func(name string, fn func(ctx context.Context) error)
 	quarantine Reconciler
 	rollouts   Orders
+	withdrawn  func() bool
 	started    time.Time
 	clockStart clockReading
 	echoes     echoes
@@ -145,6 +146,9 @@
 	Quarantine Reconciler
 	// Rollouts are reconciled likewise, and sent with the configuration; nil for none.
 	Rollouts Orders
+	// Withdrawn reports whether this node has left the member list, so that no node sends it
+	// updates; nil for never.
+	Withdrawn func() bool
 }
 
 // New returns the exchange of a node that starts now.
@@ -155,9 +159,12 @@
 	if config.Rollouts == nil {
 		config.Rollouts = noReconciler{}
 	}
+	if config.Withdrawn == nil {
+		config.Withdrawn = func() bool { return false }
+	}
 	return &Exchange{
 		self: config.Self, place: config.Place, firstStart: config.FirstStart, state: config.State, fleet: config.Fleet,
-		calls: config.Calls, timer: config.Timer, logger: config.Logger, spawn: config.Spawn, quarantine: config.Quarantine, rollouts: config.Rollouts,
+		calls: config.Calls, timer: config.Timer, logger: config.Logger, spawn: config.Spawn, quarantine: config.Quarantine, rollouts: config.Rollouts, withdrawn: config.Withdrawn,
 		firstStartDelay: firstStartDelay + time.Duration(rand.Float64()*float64(firstStartJitter)),
 		changed:         make(chan struct{}, 1), started: time.Now(), clockStart: newClockStart(),
 	}
--- a/lib/bfnews/reading.go
+++ b/lib/bfnews/reading.go
@@ -82,12 +82,16 @@
 // ReadsStore reports whether this node should read the store itself.
 //
 // A timeout starts at the first call at the earliest: a node that starts has just read the
-// store when it determines from which nodes it receives updates.
+// store when it determines from which nodes it receives updates. A node that left the member list
+// has no timeout: it receives none, and a version must not wait for it to notice.
 func (e *Exchange) ReadsStore() bool {
 	p := e.plan()
 	if p.size == 0 {
 		return !e.firstStart || e.uptime() > int64(e.firstStartDelay)
 	}
+	if e.withdrawn() {
+		return true
+	}
 	switch p.roleOf(e.place.Inbound) {
 	case source:
 		return true
--- a/lib/bfpresence/presence.go
+++ b/lib/bfpresence/presence.go
@@ -42,6 +42,8 @@
 	// state.
 	hasObserved bool
 	observed    bfstore.Entry
+	// existed is set once the row was seen in the table.
+	existed bool
 }
 
 // New returns a presence that does not write the row before SetDesired and Observe are called.
@@ -65,7 +67,7 @@
 	p.mu.Lock()
 	stale := p.hasObserved && entry.Revision < p.observed.Revision
 	if !stale {
-		p.hasObserved, p.observed = true, entry
+		p.setObserved(entry)
 	}
 	p.mu.Unlock()
 	p.notify()
@@ -149,11 +151,25 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if written.Revision >= p.observed.Revision {
-		p.observed = written
+		p.setObserved(written)
 	}
 	return nil
 }
 
+// setObserved sets the last known state of the row. The caller must hold mu.
+func (p *Presence) setObserved(entry bfstore.Entry) {
+	p.hasObserved, p.observed = true, entry
+	p.existed = p.existed || !entry.Removed
+}
+
+// Withdrawn reports whether the row existed and was removed as desired: the other nodes no longer
+// count this node as a member.
+func (p *Presence) Withdrawn() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.existed && p.hasDesired && p.desired == nil && p.observed.Removed
+}
+
 // write conditionally writes or removes the row.
 func (p *Presence) write(ctx context.Context, desired []byte, observed bfstore.Entry) (bfstore.Entry, error) {
 	write := bfstore.RowWrite{Key: p.config.Key, Value: desired, Remove: desired == nil, Revision: observed.Revision}
--- a/lib/bfpresence/presence_test.go
+++ b/lib/bfpresence/presence_test.go
@@ -215,3 +215,27 @@
 		})
 	}
 }
+
+// Guards against a node that counts as a member to itself after the others have dropped it.
+func TestWithdrawnRow(t *testing.T) {
+	runPresence(t, func(is *is.I, s *store, p *Presence) {
+		is.True(!p.Withdrawn())
+		p.Observe(s.row())
+		p.SetDesired(nil)
+		synctest.Wait()
+		is.True(!p.Withdrawn()) // the row never existed: the node is new
+		p.SetDesired([]byte("here"))
+		synctest.Wait()
+		is.True(!p.Withdrawn())
+		s.set(true, false)
+		p.SetDesired(nil)
+		time.Sleep(time.Second)
+		is.True(!p.Withdrawn()) // the other nodes still read the row
+		s.set(false, false)
+		time.Sleep(2 * time.Second)
+		is.True(s.row().Removed)
+		is.True(p.Withdrawn())
+		p.SetDesired([]byte("here again"))
+		is.True(!p.Withdrawn())
+	})
+}
