--- a/lib/bfquarantine/record.go
+++ b/lib/bfquarantine/record.go
@@ -106,17 +106,18 @@
 
 // distinctCrashes returns the number of targets that crashed, over all callers.
 func (r record) distinctCrashes() int {
-	return countCrashes(r.crashes)
+	return countCrashes(r.crashes, nil)
 }
 
-// countCrashes returns the number of distinct crashes in lists of marks.
-func countCrashes(lists ...[]CrashMark) int {
+// countCrashes returns the number of distinct crashes in the marks of a record.
+func countCrashes(crashes, cleared []CrashMark) int {
 	distinct := map[Crash]bool{}
-	for _, marks := range lists {
-		for _, mark := range marks {
-			if mark.Crash != 0 {
-				distinct[mark.Crash] = true
-			}
+	for _, mark := range crashes {
+		distinct[mark.Crash] = true
+	}
+	for _, mark := range cleared {
+		if mark.Crash != 0 {
+			distinct[mark.Crash] = true
 		}
 	}
 	return len(distinct)
