--- a/review/harness/latebeat.go
+++ b/review/harness/latebeat.go
@@ -32,7 +32,7 @@
 			return 0, err
 		}
 		servers[m] = s
-		go s.beat()
+		background.Go(s.beat)
 	}
 	if err := w.awaitReady(15 * time.Second); err != nil {
 		return 0, err
--- a/review/harness/longbody.go
+++ b/review/harness/longbody.go
@@ -23,7 +23,7 @@
 			return 0, err
 		}
 		servers[m] = s
-		go s.beat()
+		background.Go(s.beat)
 	}
 	if err := w.awaitReady(15 * time.Second); err != nil {
 		return 0, err
@@ -60,7 +60,7 @@
 				return 0, err
 			}
 			servers[m] = s
-			go s.beat()
+			background.Go(s.beat)
 			time.Sleep(4 * time.Second)
 		} else {
 			time.Sleep(8 * time.Second)
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"sync"
 )
 
 // Exit codes of a case.
@@ -15,6 +16,9 @@
 	failed = 2
 )
 
+// background runs the stand-ins and waits for the nodes; it ends with the process.
+var background sync.WaitGroup
+
 func itoa(n int64) string { return strconv.FormatInt(n, 10) }
 
 func main() {
--- a/review/harness/multipart.go
+++ b/review/harness/multipart.go
@@ -62,7 +62,7 @@
 		if m.service == "vault" {
 			s.body = func(id string) []byte { return packageBody(id, !w.trouble) }
 		}
-		go s.beat()
+		background.Go(s.beat)
 	}
 	if err := w.awaitReady(15 * time.Second); err != nil {
 		return 0, err
--- a/review/harness/node.go
+++ b/review/harness/node.go
@@ -76,10 +76,10 @@
 	}
 	done := make(chan struct{})
 	m.process, m.done, m.startedAt = c, done, time.Now()
-	go func() {
+	background.Go(func() {
 		c.Wait()
 		close(done)
-	}()
+	})
 	m.record.note("node %s started", m.name)
 	return nil
 }
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -69,7 +69,7 @@
 		state: "ready", stop: make(chan struct{}),
 	}
 	s.http = &http.Server{Handler: s, IdleTimeout: 10 * time.Second, ErrorLog: log.New(io.Discard, "", 0)}
-	go s.http.Serve(listener)
+	background.Go(func() { s.http.Serve(listener) })
 	s.record.note("server %s of %s starts at %s", id, m.service, m.name)
 	return s, nil
 }
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -43,7 +43,7 @@
 	mux.HandleFunc("GET /v1/rows-feed", s.feed)
 	mux.HandleFunc("GET /v1/rows-parts", s.parts)
 	mux.HandleFunc("POST /v1/rows-tx", s.tx)
-	go http.Serve(listener, mux)
+	background.Go(func() { http.Serve(listener, mux) })
 	return s, nil
 }
 
