Review: case 2 counts requests without any answer by themselves

The long answers are also fetched on an idempotent route with short requests behind, as pipelining clients do. Those get no byte of an answer when the connection is closed, which leaves no doubt about the rule.

--- a/review/harness/multipart.go
+++ b/review/harness/multipart.go
@@ -33,24 +33,44 @@
 	return out.Bytes()
 }
 
-// download is one request and its answer.
-type download struct {
-	id     string
-	place  int
-	status int
-	got    int
-	whole  bool
-	err    error
+// packageOf returns the body of the answer to a request, nil for a short one.
+func packageOf(path, id string, plain bool) []byte {
+	if path == lookPath {
+		return nil
+	}
+	return packageBody(id, plain)
 }
 
-// multipart downloads packages from servers in other failure domains over kept connections. Nothing is
-// disturbed.
+// The paths of the three routes: a download, a long idempotent answer and a short one.
+const (
+	downloadPath = "/package/1"
+	pagePath     = "/page/1"
+	lookPath     = "/look/1"
+)
+
+// fetched is one request and its answer.
+type fetched struct {
+	id, path string
+	// place is the place of the request on its connection, from 0.
+	place int
+	// begun is set if the head of an answer arrived, whole if all of it did.
+	begun, whole bool
+	status, got  int
+	err          error
+}
+
+// multipart fetches packages from servers in other failure domains over kept connections, some of them with
+// requests behind. Nothing is disturbed.
 func multipart(w *world) (int, error) {
 	front := w.add("front", "zone-a")
 	w.add("front", "zone-b")
 	w.add("vault", "zone-b")
 	w.add("vault", "zone-c")
-	w.configure(3, []route{{"package", "vault.example", "/package/", "download", 4, 2, 1, "vault", 2}}, []string{"front", "vault"}, nil)
+	w.configure(3, []route{
+		{"package", "vault.example", "/package/", "download", 4, 2, 1, "vault", 2},
+		{"page", "vault.example", "/page/", "idempotent", 4, 2, 1, "vault", 2},
+		{"look", "vault.example", "/look/", "idempotent", 4, 2, 1, "vault", 2},
+	}, []string{"front", "vault"}, nil)
 	if err := w.startNodes(); err != nil {
 		return 0, err
 	}
@@ -60,7 +80,7 @@
 			return 0, err
 		}
 		if m.service == "vault" {
-			s.body = func(id string) []byte { return packageBody(id, !w.trouble) }
+			s.body = func(path, id string) []byte { return packageOf(path, id, !w.trouble) }
 		}
 		background.Go(s.beat)
 	}
@@ -70,10 +90,14 @@
 	time.Sleep(5 * time.Second)
 
 	var mu sync.Mutex
-	var all []download
+	var all []fetched
 	var group sync.WaitGroup
 	end := time.Now().Add(30 * time.Second)
-	for range 4 {
+	for worker := range 6 {
+		paths := []string{downloadPath}
+		if worker%2 == 0 {
+			paths = []string{pagePath, lookPath, lookPath, lookPath}
+		}
 		group.Go(func() {
 			for time.Now().Before(end) {
 				conn, err := net.Dial("tcp", front.at(front.ports.outbound))
@@ -82,14 +106,15 @@
 					continue
 				}
 				reader := bufio.NewReader(conn)
-				for place, ok := 0, true; ok && time.Now().Before(end); place++ {
-					var d download
-					d, ok = getPackage(conn, reader, !w.trouble)
-					d.place = place
-					w.record.note("sent %s, request %d of its connection; answered %d, %d bytes, whole %v, error %v", d.id, place+1, d.status, d.got, d.whole, d.err)
+				for place, ok := 0, true; ok && time.Now().Before(end); place += len(paths) {
+					var list []fetched
+					list, ok = fetch(conn, reader, place, paths, !w.trouble)
 					mu.Lock()
-					all = append(all, d)
+					all = append(all, list...)
 					mu.Unlock()
+					for _, f := range list {
+						w.record.note("sent %s, %s, request %d of its connection; answered %d, %d bytes, whole %v, error %v", f.id, f.path, f.place+1, f.status, f.got, f.whole, f.err)
+					}
 					time.Sleep(50 * time.Millisecond)
 				}
 				conn.Close()
@@ -97,26 +122,37 @@
 		})
 	}
 	group.Wait()
+	time.Sleep(500 * time.Millisecond)
+	return judge(w, all)
+}
 
+// judge counts the requests that a server ran and whose connection was closed in the middle of their answer, or
+// without any byte of it.
+func judge(w *world, all []fetched) (int, error) {
 	ranAt := map[string]string{}
 	for _, r := range w.ledger.all() {
 		ranAt[r.id] = r.server
 	}
-	lost, whole := 0, 0
-	for _, d := range all {
-		if d.whole {
+	cut, none, whole := 0, 0, 0
+	for _, f := range all {
+		server := ranAt[f.id]
+		switch {
+		case f.whole:
 			whole++
-		}
-		if server := ranAt[d.id]; d.err != nil && d.place > 0 && server != "" {
-			lost++
-			w.record.note("LOST: %s, request %d of a kept connection, ran at %s; the connection was closed after %d bytes of the answer: %v", d.id, d.place+1, server, d.got, d.err)
+		case f.err == nil || f.place == 0 || server == "":
+		case f.begun:
+			cut++
+			w.record.note("LOST: %s, %s, request %d of a kept connection, ran at %s; the connection was closed after %d bytes of the answer: %v", f.id, f.path, f.place+1, server, f.got, f.err)
+		default:
+			none++
+			w.record.note("LOST: %s, %s, request %d of a kept connection, ran at %s; the connection was closed without an answer: %v", f.id, f.path, f.place+1, server, f.err)
 		}
 	}
-	summary := fmt.Sprintf("%d requests sent, %d answered in whole, %d passed on to a sound server and cut", len(all), whole, lost)
+	summary := fmt.Sprintf("%d requests sent, %d answered in whole; passed on to a sound server and closed: %d without any answer, %d in the middle of it", len(all), whole, none, cut)
 	w.record.note("%s", summary)
 	fmt.Println(summary)
 	switch {
-	case lost > 3:
+	case none > 3 || cut > 3:
 		return broken, nil
 	case 2*whole < len(all):
 		return failed, nil
@@ -124,21 +160,34 @@
 	return held, nil
 }
 
-// getPackage sends one request and reads its answer. It returns false if the connection ended.
-func getPackage(conn net.Conn, reader *bufio.Reader, plain bool) (download, bool) {
-	d := download{id: newID()}
-	conn.SetDeadline(time.Now().Add(5 * time.Second))
-	_, d.err = fmt.Fprintf(conn, "GET /package/1 HTTP/1.1\r\nHost: vault.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 4000\r\n\r\n", d.id)
-	if d.err != nil {
-		return d, false
+// fetch sends requests at once and reads their answers. It returns false if the connection ended.
+func fetch(conn net.Conn, reader *bufio.Reader, place int, paths []string, plain bool) (list []fetched, ok bool) {
+	text := ""
+	for at, path := range paths {
+		f := fetched{id: newID(), path: path, place: place + at}
+		list = append(list, f)
+		text += "GET " + path + " HTTP/1.1\r\nHost: vault.example\r\nX-Attempt-Id: " + f.id + "\r\nX-Deadline-Ms: 4000\r\n\r\n"
 	}
-	var response *http.Response
-	if response, d.err = http.ReadResponse(reader, nil); d.err != nil {
-		return d, false
+	conn.SetDeadline(time.Now().Add(5 * time.Second))
+	_, err := io.WriteString(conn, text)
+	for at := range list {
+		f := &list[at]
+		if f.err = err; err != nil {
+			continue
+		}
+		var response *http.Response
+		if response, err = http.ReadResponse(reader, nil); err != nil {
+			f.err = err
+			continue
+		}
+		var body []byte
+		body, err = io.ReadAll(response.Body)
+		f.begun, f.status, f.got, f.err = true, response.StatusCode, len(body), err
+		expected := packageOf(f.path, f.id, plain)
+		f.whole = err == nil && f.status == http.StatusOK && (expected == nil || bytes.Equal(body, expected))
+		if err == nil && response.Close {
+			err = io.EOF
+		}
 	}
-	var body []byte
-	body, d.err = io.ReadAll(response.Body)
-	d.status, d.got = response.StatusCode, len(body)
-	d.whole = d.err == nil && d.status == http.StatusOK && bytes.Equal(body, packageBody(d.id, plain))
-	return d, d.err == nil && !response.Close
+	return list, err == nil
 }
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -55,8 +55,8 @@
 	state   string
 	stop    chan struct{}
 	ended   sync.Once
-	// body returns the body of the answer to a request; nil for a short one.
-	body func(id string) []byte
+	// body returns the body of the answer to a request, nil for a short one; it may be nil.
+	body func(path, id string) []byte
 }
 
 func startServer(id string, m *machine, slots int, work time.Duration, l *ledger) (*server, error) {
@@ -110,8 +110,7 @@
 	time.Sleep(s.work)
 	w.Header().Set("X-Response-Signature", "sig-"+id)
 	w.Header().Set("Content-Type", "application/octet-stream")
-	if s.body != nil {
-		body := s.body(id)
+	if body := s.longBody(one); body != nil {
 		w.Header().Set("Content-Length", itoa(int64(len(body))))
 		w.Write(body)
 		return
@@ -119,6 +118,13 @@
 	io.WriteString(w, "done "+id+" "+one.sum)
 }
 
+func (s *server) longBody(r run) []byte {
+	if s.body == nil {
+		return nil
+	}
+	return s.body(r.path, r.id)
+}
+
 // report returns a heartbeat as it is now.
 func (s *server) report() []byte {
 	s.mu.Lock()
