--- a/review/harness/longbody.go
+++ b/review/harness/longbody.go
@@ -9,8 +9,7 @@
 
 // longBody sends long requests in chunks while servers drain and are replaced, one after the other.
 func longBody(w *world) (int, error) {
-	front := w.add("front", "zone-a")
-	w.add("front", "zone-b")
+	fronts := []*machine{w.add("front", "zone-a"), w.add("front", "zone-b")}
 	backs := []*machine{w.add("back", "zone-a"), w.add("back", "zone-b"), w.add("back", "zone-c")}
 	w.configure(3, []route{{"upload", "upload.example", "/up/", "non_idempotent", 4, 1, 1, "back", 2}}, []string{"front", "back"}, nil)
 	if err := w.startNodes(); err != nil {
@@ -33,7 +32,8 @@
 	c := newClient(w.record)
 	var group sync.WaitGroup
 	stop := make(chan struct{})
-	for range 10 {
+	for worker := range 16 {
+		front := fronts[worker%len(fronts)]
 		group.Go(func() {
 			body := make([]byte, 700_000)
 			for {
