The configuration names the path of a target's health check

The platform's configuration gives each service a path at which its targets answer 200 while they are healthy and do not leave. Nodes keep it with the service, so that a node can ask its own target. It has no part in the digest of a configuration: a node of an earlier release that passes a configuration on drops it, and the others must still agree on the digest. Without the path nothing is asked.

--- a/lib/bftraffic/snapshot.go
+++ b/lib/bftraffic/snapshot.go
@@ -150,6 +150,17 @@
 	return spec
 }
 
+// HealthPath returns the path at which targets of a service answer whether they accept requests, "" if
+// it is not known.
+func (s *Snapshot) HealthPath(service string) string {
+	for _, known := range s.services {
+		if known.Name == service {
+			return known.HealthPath
+		}
+	}
+	return ""
+}
+
 // Limits returns the limits on requests and connections.
 func (s *Snapshot) Limits() Limits { return s.limits }
 
--- a/lib/bftraffic/spec.go
+++ b/lib/bftraffic/spec.go
@@ -77,6 +77,9 @@
 	Name string `cbor:"1,keyasint"`
 	// MaxConns is the maximum number of connections that one target accepts from all nodes.
 	MaxConns int `cbor:"2,keyasint"`
+	// HealthPath is the path at which a target answers whether it accepts requests, "" if not known. It
+	// has no part in the digest: nodes of releases without the field keep configurations without it.
+	HealthPath string `cbor:"3,keyasint,omitempty"`
 }
 
 // Limits bound the size of a caller's request and the time to send it.
