A restarted node asks its target while the store can't be read

A restarted node that can't read which starts have departed took two heartbeats at least 1.2 s apart for a sign of life. Heartbeats may be late, any number of them, so they show nothing; and the wait for the second one costs the time.

The start itself knows. Where a heartbeat can't be trusted, the node now sends the service's health check to the address that the heartbeat names. The answer is given after the question, and so after every report that an earlier process acknowledged: 200 with the start's own ID means that it does not leave. No number of heartbeats confirms a start any more. It is asked only while the record can't be read, at most four times a heartbeat; targets that are full are asked again, as they say nothing about themselves.

TestAcknowledgedDeparturesBindAllProcesses has any number of late heartbeats again and running starts that answer.

Tests replaced: TestHeartbeatsConfirmAStartWhileTheDeparturesAreUnknown asked for what the new rule forbids. TestAnswerConfirmsAStartWhileTheDeparturesAreUnknown asks that six heartbeats confirm nothing and an answer does. TestRowOfAnEarlierEraIsNotComplete has its start confirmed by an answer, and checks that two heartbeats do not confirm it.

--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -145,7 +145,7 @@
 	n.host = bfhost.New(bfhost.Config{
 		Service: common.Service, Names: names, Client: n.targets, Timer: n.timer, Account: account,
 		AwaitDepartures: !settings.FirstStart, Departed: func(all []bflifecycle.Departure) { n.departures.Record(all) },
-		Changed: n.targetChanged, HeartbeatIgnored: n.logIgnoredHeartbeat, Quarantine: n.quarantine, Crashed: n.targetCrashed, AdmitsVersion: n.admitsVersion, LimitChanged: n.limitChanged, LearnsRoom: settings.LearnRoom,
+		Changed: n.targetChanged, HeartbeatIgnored: n.logIgnoredHeartbeat, HealthPath: n.healthPath, Spawn: n.group.Go, Verified: n.logVerification, Quarantine: n.quarantine, Crashed: n.targetCrashed, AdmitsVersion: n.admitsVersion, LimitChanged: n.limitChanged, LearnsRoom: settings.LearnRoom,
 	})
 	n.freshness = newFreshness(settings.Revocation, clock, n.current, logger)
 	n.quotas = n.newQuotas()
--- a/bftrial/internal/bfsimtarget/target.go
+++ b/bftrial/internal/bfsimtarget/target.go
@@ -174,8 +174,27 @@
 	}
 }
 
+// HealthPath is where a target answers whether it accepts requests.
+const HealthPath = "/healthz"
+
+// serveHealth answers whether the target accepts requests, or that it is too full to answer.
+func (t *Target) serveHealth(w http.ResponseWriter) {
+	w.Header().Set(headers.Target, t.id)
+	switch {
+	case t.inFlight.Load() >= Slots:
+		w.Header().Set(headers.NotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case bflifecycle.State(t.state.Load()) != bflifecycle.Ready || t.leaving.Load():
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // ServeHTTP runs one request, with the faults that are set on the target.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == HealthPath {
+		t.serveHealth(w)
+		return
+	}
 	id := r.Header.Get(headers.RequestID)
 	w.Header().Set(headers.RequestID, id)
 	w.Header().Set(headers.Target, t.id)
--- a/bftrial/internal/bfsoak/harness.go
+++ b/bftrial/internal/bfsoak/harness.go
@@ -216,7 +216,7 @@
 
 // writeVersion writes a version; h.mu must be held.
 func (h *harness) writeVersion(next bftraffic.Version) error {
-	spec := bftraffic.Spec{Version: next, Services: []bftraffic.ServiceSpec{{Name: "vault", MaxConns: 100}}}
+	spec := bftraffic.Spec{Version: next, Services: []bftraffic.ServiceSpec{{Name: bfsimtarget.Service, MaxConns: 100, HealthPath: bfsimtarget.HealthPath}}}
 	add := func(prefix string, kind bftraffic.Kind) {
 		spec.Routes = append(spec.Routes, bftraffic.RouteSpec{
 			Name: prefix, Host: host, Prefix: prefix, Kind: kind, Timeout: routeTimeout, Objective: 300 * time.Millisecond,
--- a/lib/bfdeparture/journal_test.go
+++ b/lib/bfdeparture/journal_test.go
@@ -108,6 +108,13 @@
 	p.tracker.ApplyHeartbeat(h, time.Now())
 }
 
+// answer has a start tell the process that it accepts requests.
+func (p *process) answer(incarnation string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tracker.Confirm(incarnation, time.Now())
+}
+
 // depart delivers a departure and reports whether it is acknowledged.
 func (p *process) depart(incarnation string) bool {
 	p.mu.Lock()
@@ -232,6 +239,8 @@
 		next.heartbeat(beat("c", 1))
 		time.Sleep(1500 * time.Millisecond)
 		next.heartbeat(beat("c", 2))
+		is.Equal(next.accepting(), "")
+		next.answer("c")
 		is.Equal(next.accepting(), "c")
 		next.kill()
 	})
@@ -282,21 +291,16 @@
 			s := newStore()
 			p := start(s, true)
 			var acknowledged []string
-			// One heartbeat of a start is late: several ones confirm a start while the store can't be read.
 			var late []bflifecycle.Heartbeat
-			delayed := map[string]bool{}
 			running, sequence := 0, int64(0)
 			name := func() string { return fmt.Sprint("start-", running) }
 			for range 60 {
 				sequence++
-				switch random.IntN(9) {
+				switch random.IntN(10) {
 				case 0, 1, 2:
 					p.heartbeat(beat(name(), sequence))
 				case 3:
-					if !delayed[name()] {
-						late = append(late, beat(name(), sequence))
-						delayed[name()] = true
-					}
+					late = append(late, beat(name(), sequence))
 				case 4:
 					if p.depart(name()) {
 						acknowledged = append(acknowledged, name())
@@ -316,6 +320,8 @@
 						p.heartbeat(late[0])
 						late = late[1:]
 					}
+				case 9:
+					p.answer(name())
 				}
 				time.Sleep(time.Duration(random.IntN(800)) * time.Millisecond)
 				if got := p.accepting(); slices.Contains(acknowledged, got) {
--- a/lib/bfhost/host.go
+++ b/lib/bfhost/host.go
@@ -40,6 +40,12 @@
 	Departed func([]bflifecycle.Departure)
 	// HeartbeatIgnored is called for each heartbeat that was ignored; nil is allowed.
 	HeartbeatIgnored func(bflifecycle.Heartbeat, bflifecycle.Rejection)
+	// HealthPath returns the path at which the target answers whether it accepts requests, "" while it
+	// is not known; nil means that targets can't be asked. Spawn starts the goroutine that asks.
+	HealthPath func() string
+	Spawn      func(name string, fn func(ctx context.Context) error)
+	// Verified is called with each answer; nil is allowed.
+	Verified func(Verification)
 	// Quarantine holds the requests that crash targets; nil means empty.
 	Quarantine *bfquarantine.Book
 	// AdmitsVersion reports whether a request may run on a target of a version; chosen is set if its
@@ -71,6 +77,8 @@
 	limit      bflimit.Keeper
 	// sends counts the requests sent to the target.
 	sends atomic.Int64
+	// verifying is set while the target is asked whether it accepts requests.
+	verifying atomic.Bool
 	// runs holds the requests in progress at the target.
 	runs    bfnested.Runs
 	flights *bfflight.Tracker
--- a/lib/bfhost/report.go
+++ b/lib/bfhost/report.go
@@ -15,6 +15,9 @@
 	if rejection != "" && h.config.HeartbeatIgnored != nil {
 		h.config.HeartbeatIgnored(beat, rejection)
 	}
+	if rejection == bflifecycle.Unconfirmed {
+		h.verify(beat)
+	}
 }
 
 // RestoreTarget sets the target from the row that this node stored before it restarted. It
--- a/lib/bflifecycle/awaiting_test.go
+++ b/lib/bflifecycle/awaiting_test.go
@@ -64,40 +64,56 @@
 }
 
 // Guards against a running target that gets no requests as long as the store can't be read, and against
-// delayed heartbeats that arrive together or are repeated.
-func TestHeartbeatsConfirmAStartWhileTheDeparturesAreUnknown(t *testing.T) {
+// delayed heartbeats that are taken for signs of life, however many arrive.
+func TestAnswerConfirmsAStartWhileTheDeparturesAreUnknown(t *testing.T) {
 	is := is.New(t)
 	tr, now := NewTracker("portal"), time.Unix(100, 0)
 	tr.AwaitDepartures()
-	is.True(!tr.ApplyHeartbeat(ready("a", 4), now))
-	is.True(!tr.ApplyHeartbeat(ready("a", 5), now.Add(10*time.Millisecond)))
-	is.True(!tr.ApplyHeartbeat(ready("a", 3), now.Add(2*time.Second))) // older
-	is.True(!tr.ApplyHeartbeat(ready("a", 5), now.Add(2*time.Second))) // again
-	is.True(tr.ApplyHeartbeat(ready("a", 6), now.Add(2*time.Second)))
+	for sequence := range int64(6) {
+		is.True(!tr.ApplyHeartbeat(ready("a", sequence), now.Add(time.Duration(sequence)*1500*time.Millisecond)))
+	}
+	is.True(!tr.Confirm("b", now.Add(8*time.Second)))
+	is.Equal(accepting(tr), "")
+	is.True(tr.Confirm("a", now.Add(8*time.Second)))
 	is.Equal(accepting(tr), "a")
-	is.True(!tr.ApplyHeartbeat(ready("a", 7), now.Add(3*time.Second))) // accepted, no change
+	is.Equal(tr.current.Sequence(), int64(5))
+	is.True(!tr.ApplyHeartbeat(ready("a", 7), now.Add(9*time.Second))) // accepted, no change
 	is.Equal(tr.current.Sequence(), int64(7))
-	is.True(tr.LearnDepartures([]Departure{{Incarnation: "a"}}, true, now.Add(4*time.Second)))
+	is.True(tr.LearnDepartures([]Departure{{Incarnation: "a"}}, true, now.Add(10*time.Second)))
+	is.Equal(accepting(tr), "")
+}
+
+// Guards against a start that is confirmed after it has said to this process that it leaves, and against one
+// whose heartbeat comes after its answer and is not used.
+func TestConfirmationAndReportsInAnyOrder(t *testing.T) {
+	is := is.New(t)
+	tr, now := NewTracker("portal"), time.Unix(100, 0)
+	tr.AwaitDepartures()
+	tr.ApplyHeartbeat(ready("a", 1), now)
+	tr.ApplyDeparture(Departure{Incarnation: "a"}, now)
+	is.True(!tr.Confirm("a", now))
 	is.Equal(accepting(tr), "")
+	is.True(!tr.Confirm("b", now))
+	is.True(tr.ApplyHeartbeat(ready("b", 1), now))
+	is.Equal(accepting(tr), "b")
 }
 
-// Guards against requests without end for a departed start, of which several heartbeats are late while the
-// departures can't be read.
+// Guards against requests without end for a start that has ended, while the departures can't be read.
 func TestStartIsUsedWhileItsHeartbeatsArrive(t *testing.T) {
 	is := is.New(t)
 	tr, now := NewTracker("portal"), time.Unix(100, 0)
 	tr.AwaitDepartures()
 	tr.ApplyHeartbeat(ready("a", 4), now)
-	is.True(tr.ApplyHeartbeat(ready("a", 5), now.Add(confirmAfter)))
-	is.True(!tr.Current().IsStale(now.Add(confirmAfter + provisionalTTL)))
-	is.True(tr.Current().IsStale(now.Add(confirmAfter + provisionalTTL + time.Millisecond)))
+	is.True(tr.Confirm("a", now))
+	is.True(!tr.Current().IsStale(now.Add(provisionalTTL)))
+	is.True(tr.Current().IsStale(now.Add(provisionalTTL + time.Millisecond)))
 	tr.ApplyHeartbeat(ready("a", 6), now.Add(time.Minute))
 	is.True(!tr.Current().IsStale(now.Add(time.Minute)))
 	tr.LearnDepartures(nil, true, now.Add(time.Minute))
 	is.True(!tr.Current().IsStale(now.Add(time.Hour)))
 }
 
-// Guards against heartbeats of different starts that confirm each other.
+// Guards against heartbeats that confirm a start, its own or another one.
 func TestHeartbeatsOfAnotherStartConfirmNothing(t *testing.T) {
 	is := is.New(t)
 	tr, now := NewTracker("portal"), time.Unix(100, 0)
--- a/lib/bflifecycle/tracker.go
+++ b/lib/bflifecycle/tracker.go
@@ -210,7 +210,7 @@
 	switch rejection {
 	case "":
 	case Unconfirmed:
-		tr.awaiting.hold(h, now)
+		tr.awaiting.hold(h)
 		return false
 	default:
 		return false
