Soak: the check of one outcome and the written versions have packages of their own

What breaks a rule is decided by a pure function of an outcome and its circumstances (bfcallerclient, Violation), in the order as before; the configurations are made in bfversion. No check changes.

--- a/bftrial/internal/bfsoak/check.go
+++ b/bftrial/internal/bfsoak/check.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"bilberryflow.org/bftrial/internal/bfcallerclient"
 	"bilberryflow.org/lib/bftraffic"
 )
 
@@ -74,25 +75,14 @@
 }
 
 func (h *harness) checkOutcome(o outcome) {
-	runs := h.runLog.RunCount(o.ID)
-	calm := !o.node.hadFault(o.Began, o.Ended, false)
-	switch {
-	case o.Mismatch != "":
-		h.addViolation("%s received another request's response or an incomplete one: %s", o.ID, o.Mismatch)
-	case !o.Idempotent && runs > 1:
-		h.addViolation("non-idempotent request %s ran %d times", o.ID, runs)
-	case (o.Status == http.StatusServiceUnavailable || o.Status == http.StatusTooManyRequests) && runs > 0 && !o.Idempotent:
-		h.addViolation("%s was answered as not run, but ran %d times", o.ID, runs)
-	case o.Status == http.StatusOK && runs == 0:
-		h.addViolation("%s was answered as served, but never ran", o.ID)
-	case calm && o.Ended.Sub(o.Began) > routeTimeout+maxAnswerDelay:
-		h.addViolation("%s was unanswered for %v", o.ID, o.Ended.Sub(o.Began))
-	case calm && o.Err != nil && runs > 0 && o.node.hadFault(o.Began, o.Ended, true) && !h.anyUnplannedFault(o):
-		h.addViolation("%s ran and lost its connection during planned maintenance: %v", o.ID, o.Err)
-	case o.Status == http.StatusUnauthorized && h.ledger.MayBeUnknown(o.ID, o.Ended):
-		// The key was not valid all the time.
-	case o.Status >= 300 && o.Status < 500 && o.Status != http.StatusTooManyRequests:
-		h.addViolation("%s was rejected with status %d", o.ID, o.Status)
+	violation := o.Violation(bfcallerclient.Circumstances{
+		Runs: h.runLog.RunCount(o.ID), AnswerLimit: routeTimeout + maxAnswerDelay,
+		Calm:            !o.node.hadFault(o.Began, o.Ended, false),
+		Maintained:      o.node.hadFault(o.Began, o.Ended, true) && !h.anyUnplannedFault(o),
+		KeyMayBeUnknown: h.ledger.MayBeUnknown(o.ID, o.Ended),
+	})
+	if violation != "" {
+		h.addViolation("%s %s", o.ID, violation)
 	}
 }
 
--- a/bftrial/internal/bfsoak/client.go
+++ b/bftrial/internal/bfsoak/client.go
@@ -10,6 +10,7 @@
 
 	"bilberryflow.org/bftrial/internal/bfcallerclient"
 	"bilberryflow.org/bftrial/internal/bfledger"
+	"bilberryflow.org/bftrial/internal/bfversion"
 )
 
 // outcome is the result of one request, and the node that got it.
@@ -22,8 +23,8 @@
 
 const (
 	callerDeadline = 1500 * time.Millisecond
-	routeTimeout   = time.Second
-	host           = "mesh.example"
+	routeTimeout   = bfversion.Timeout
+	host           = bfversion.Host
 )
 
 var requests atomic.Int64
--- a/bftrial/internal/bfsoak/harness.go
+++ b/bftrial/internal/bfsoak/harness.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +17,7 @@
 	"bilberryflow.org/bftrial/internal/bfproxy"
 	"bilberryflow.org/bftrial/internal/bfrunlog"
 	"bilberryflow.org/bftrial/internal/bfsimtarget"
+	"bilberryflow.org/bftrial/internal/bfversion"
 	"bilberryflow.org/lib/bfgroup"
 	"bilberryflow.org/lib/bftraffic"
 	"bilberryflow.org/platform/bfdialect"
@@ -216,18 +216,7 @@
 
 // writeVersion writes a version; h.mu must be held.
 func (h *harness) writeVersion(next bftraffic.Version) error {
-	spec := bftraffic.Spec{Version: next, Services: []bftraffic.ServiceSpec{{Name: bfsimtarget.Service, MaxConns: 100, HealthPath: bfsimtarget.HealthPath}}}
-	add := func(prefix string, kind bftraffic.Kind) {
-		spec.Routes = append(spec.Routes, bftraffic.RouteSpec{
-			Name: prefix, Host: host, Prefix: prefix, Kind: kind, Timeout: routeTimeout, Objective: 300 * time.Millisecond,
-			MaxAttempts: 2, Public: h.ledger != nil && strings.HasPrefix(prefix, "/look-v") && prefix != "/look-vault/", Destinations: []bftraffic.Destination{{Service: "vault", Weight: 1}},
-		})
-	}
-	add("/look-vault/", bftraffic.Idempotent)
-	add("/approve-vault/", bftraffic.NonIdempotent)
-	for v := bftraffic.Version(1); v <= next; v++ {
-		add(fmt.Sprintf("/look-v%d/", v), bftraffic.Idempotent)
-	}
+	spec := bfversion.Spec(next, h.ledger != nil)
 	data, err := bfdialect.EncodeWithKeys(spec, h.ledger.AddTo(&spec))
 	if err != nil {
 		return err
--- /dev/null
+++ b/bftrial/internal/bfversion/doc.go
@@ -0,0 +1,2 @@
+// Package bfversion makes the configurations that an operator writes during a soak.
+package bfversion
