Other nodes read, record and keep the departures of a node

What operators saw: where the store turned one node away, its target's departure stayed without acknowledgement as long as that lasted, and with it the successor was late; after a restart the node could not read what had departed, although every other node could have.

Cause: the record of departures could only be reached by the node itself.

A node now has three keepers, members chosen by a hash of its address, of other failure domains first. After 0.4 s without an answer of the store it has them read or write its row. They make the call at that moment, so the result counts like the node's own, and the condition on the revision keeps a write whose answer was lost from being made twice. Besides, they are told of each departure and keep it in memory (64 nodes, 16 departures each, the one told of longest ago goes first); a restarted node that the store has not answered within 0.1 s asks them before it asks its target. What they know can only add a departure, and one that the store may lack counts as not recorded: a report of it is not acknowledged before it is.

Failed before, pass now: TestOtherNodesReachTheStore, TestOtherNodesKeepDepartures (neither can be written without the keepers; what they guard against is shown by the soak).

--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -158,10 +158,6 @@
 	})
 	n.store = bfera.New(bfdialect.NewStore(common.PlatformAddress), logger)
 	n.newStoreFollowers(n.store)
-	n.departures = bfdeparture.New(bfdeparture.Config{
-		Table: departuresTable, Key: common.Inbound, Rows: n.store, Era: n.store.Era, FirstStart: settings.FirstStart,
-		Loaded: n.host.LearnDepartures, Timer: n.timer, Logger: logger, Metrics: n.metrics,
-	})
 	n.newNodeCalls()
 	n.ready = readiness{configured: func() bool { return n.traffic.Current() != nil }}
 	return n
@@ -201,6 +197,7 @@
 	maps.Copy(methods, n.rumor.Methods())
 	maps.Copy(methods, n.conductor.Methods())
 	maps.Copy(methods, n.batcher.Methods())
+	maps.Copy(methods, n.newDepartures().Methods())
 	n.addQuotaMethods(methods)
 }
 
--- a/bfnode/internal/bfmesh/state.go
+++ b/bfnode/internal/bfmesh/state.go
@@ -21,9 +21,6 @@
 // membersTable is the store's table with one row for each member.
 const membersTable = "members"
 
-// departuresTable is the store's table with the departures that each node was told of.
-const departuresTable = "departures"
-
 // state is the node's copy of the platform's store; it implements bfnews.State.
 type state struct {
 	logger   *bflog.Logger
--- a/bftrial/internal/bfsoak/departing.go
+++ b/bftrial/internal/bfsoak/departing.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bilberryflow.org/bftrial/internal/bffleet"
+	"bilberryflow.org/bftrial/internal/bfproxy"
 	"bilberryflow.org/bftrial/internal/bfsimtarget"
 )
 
@@ -14,6 +15,7 @@
 	lateHeartbeats = "late heartbeats of departed targets"
 	storedRows     = "targets depart while the store is down"
 	departingOnly  = "targets depart, nodes run on"
+	turnedAway     = "targets depart, the store refuses their nodes"
 )
 
 // departure is how the target of a node departs.
@@ -21,6 +23,8 @@
 	announced, late bool
 	// storeDown is set if the store is down when the target departs.
 	storeDown bool
+	// refused is set if the store refuses the node from before the departure until the target has ended.
+	refused bool
 	// restart restarts the node once the departure was acknowledged; nil for no restart.
 	restart func(*harness, *nodeSlot, time.Duration)
 	// delay is the time from the acknowledgement to the restart.
@@ -32,6 +36,9 @@
 	rosterDelay = 2 * time.Second
 	// departureOutage is how long the store is down around a departure.
 	departureOutage = 1500 * time.Millisecond
+	// maxRefusedAckDelay is how long the departure may stay without acknowledgement while the store serves the
+	// other nodes.
+	maxRefusedAckDelay = 2 * time.Second
 	// maxAckDelay is how long a departure may stay without acknowledgement while the store works.
 	maxAckDelay = 4 * time.Second
 )
@@ -48,6 +55,15 @@
 			h.checkError("platform fault", h.fleet.EnableFault(bffleet.Fault{Mode: "down", For: departureOutage.String()}))
 			h.extendStoreFault(time.Now().Add(departureOutage))
 		}
+		if d.refused {
+			limit = maxRefusedAckDelay
+			n.store.Set(bfproxy.Refuse, 0)
+			n.store.Reset()
+			defer func() {
+				n.store.Set(bfproxy.Pass, 0)
+				h.extendStoreFault(time.Now())
+			}()
+		}
 		err = n.target.Depart(h.group.Context(), bfsimtarget.Departure{
 			Announced: d.announced, Late: d.late, AckLimit: limit,
 			Acknowledged: func() {
--- a/bftrial/internal/bfsoak/faults.go
+++ b/bftrial/internal/bfsoak/faults.go
@@ -85,6 +85,10 @@
 		departure{storeDown: true, restart: (*harness).killNode}, departure{storeDown: true, announced: true, restart: (*harness).killNode},
 		departure{storeDown: true, restart: (*harness).stopNode}, departure{storeDown: true, announced: true, restart: (*harness).stopNode},
 	)},
+	{turnedAway, departInTurn(
+		departure{late: true, refused: true, restart: (*harness).killNode}, departure{late: true, refused: true, announced: true},
+		departure{late: true, refused: true}, departure{late: true, refused: true, announced: true, restart: (*harness).stopNode},
+	)},
 	{departingOnly, departInTurn(
 		departure{late: true}, departure{late: true, announced: true}, departure{late: true, storeDown: true}, departure{late: true, storeDown: true, announced: true},
 	)},
--- a/lib/bfdeparture/journal.go
+++ b/lib/bfdeparture/journal.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bilberryflow.org/lib/bflifecycle"
@@ -28,7 +29,11 @@
 	FirstStart bool
 	// Loaded is called with the departures that earlier processes recorded; complete is not set if
 	// some may have been lost with the store.
-	Loaded  func(departures []bflifecycle.Departure, complete bool)
+	Loaded func(departures []bflifecycle.Departure, complete bool)
+	// Network is asked if the store can't be reached, and told of new departures; nil for none.
+	Network *Network
+	// Advised is called with departures that other nodes know of; there may be more.
+	Advised func(departures []bflifecycle.Departure)
 	Timer   *bftimer.Service
 	Logger  *bflog.Logger
 	Metrics *bfmetric.Registry
@@ -39,12 +44,16 @@
 	config Config
 	writes *bfmetric.Counter
 	wake   chan struct{}
+	// consulted is set once the row was read or other nodes were asked.
+	consulted atomic.Bool
 
 	mu sync.Mutex
 	// recorded are the departures of this process; changes counts how often they changed, and written
 	// how many of these changes the row holds.
 	recorded         []bflifecycle.Departure
 	changes, written int
+	// earlier are the departures that earlier processes were told of.
+	earlier []bflifecycle.Departure
 	// progress is closed and replaced whenever written grows.
 	progress chan struct{}
 
@@ -54,16 +63,18 @@
 	rowKnown bool
 	revision bfstore.Revision
 	value    []byte
-	// earlier are the departures that earlier processes recorded.
-	earlier []bflifecycle.Departure
 	// era is the era of the store in which the row is known to be complete, 0 if there is none.
 	era uint64
+	// patience bounds a call of the store before other nodes are asked. It doubles with each failed step.
+	patience time.Duration
+	// told is the number of changes that other nodes were told of.
+	told int
 }
 
 // New returns the journal of a node; Run starts it.
 func New(config Config) *Journal {
 	return &Journal{
-		config: config, rowKnown: config.FirstStart, wake: make(chan struct{}, 1), progress: make(chan struct{}),
+		config: config, rowKnown: config.FirstStart, wake: make(chan struct{}, 1), progress: make(chan struct{}), patience: minPatience,
 		writes: config.Metrics.Counter("store_writes_" + config.Table),
 	}
 }
@@ -117,6 +128,9 @@
 	}
 }
 
+// Consulted reports whether the row was read or other nodes were asked: what they know was passed on.
+func (j *Journal) Consulted() bool { return j.config.Network == nil || j.consulted.Load() }
+
 // InSync reports whether the store holds everything that was recorded.
 func (j *Journal) InSync() bool {
 	j.mu.Lock()
@@ -129,6 +143,13 @@
 	minBackoff    = 150 * time.Millisecond
 	maxBackoff    = time.Second
 	backoffJitter = 0.3
+	// minPatience and maxPatience bound the time of a call of the store. A silent store must leave other
+	// nodes the time to write the row before the target repeats its report; a slow one needs longer.
+	minPatience = 400 * time.Millisecond
+	maxPatience = 2 * time.Second
+	// consultDelay is longer than the store takes, consultInterval the time between two looks for members.
+	consultDelay    = 100 * time.Millisecond
+	consultInterval = 50 * time.Millisecond
 	// eraInterval is how often the era of the store is checked.
 	eraInterval = time.Second
 )
@@ -138,6 +159,9 @@
 func (j *Journal) Run(ctx context.Context) error {
 	check := j.config.Timer.Every(func() time.Duration { return eraInterval }, func(time.Time) { j.notify() })
 	defer check.Stop()
+	if !j.Consulted() && !j.config.FirstStart {
+		j.config.Network.Spawn("consult other nodes", j.consult)
+	}
 	backoff := minBackoff
 	for {
 		err := j.step(ctx)
@@ -145,7 +169,7 @@
 		case ctx.Err() != nil:
 			return nil
 		case err == nil:
-			backoff = minBackoff
+			backoff, j.patience = minBackoff, minPatience
 			select {
 			case <-j.wake:
 			case <-ctx.Done():
@@ -158,26 +182,29 @@
 		if j.config.Timer.Wait(ctx, j.config.Timer.Jittered(backoff, backoffJitter)()) != nil {
 			return nil
 		}
-		backoff = min(2*backoff, maxBackoff)
+		backoff, j.patience = min(2*backoff, maxBackoff), min(2*j.patience, maxPatience)
 	}
 }
 
 // step reads the row if it isn't known, and writes it if it lacks a departure or is of an earlier era.
 func (j *Journal) step(ctx context.Context) error {
+	if err := j.tellKeepers(); err != nil {
+		return err
+	}
 	if !j.rowKnown {
 		if err := j.read(ctx); err != nil {
 			return err
 		}
 	}
 	j.mu.Lock()
-	changes, recorded, pending := j.changes, j.recorded, j.written < j.changes
+	changes, departures, pending := j.changes, merge(j.earlier, j.recorded), j.written < j.changes
 	j.mu.Unlock()
 	era := j.config.Era()
 	if !pending && (j.era == 0 || j.era == era) {
 		j.era = era
 		return nil
 	}
-	value, err := encode(merge(j.earlier, recorded), era)
+	value, err := encode(departures, era)
 	if err != nil {
 		return err
 	}
@@ -198,9 +225,72 @@
 // firstEra is the era of a store that was never restored from a copy.
 const firstEra = 1
 
+// tellKeepers tells other nodes of departures that they were not told of.
+func (j *Journal) tellKeepers() error {
+	j.mu.Lock()
+	changes, departures := j.changes, merge(j.earlier, j.recorded)
+	j.mu.Unlock()
+	if j.config.Network == nil || j.told == changes {
+		return nil
+	}
+	value, err := encode(departures, 0)
+	if err != nil {
+		return err
+	}
+	j.told = changes
+	j.config.Network.tell(j.config.Key, value)
+	return nil
+}
+
+// get reads the row, through another node if the store doesn't answer this one.
+func (j *Journal) get(ctx context.Context) (bfstore.Entry, error) {
+	if j.config.Network == nil {
+		return j.config.Rows.Get(ctx, j.config.Table, j.config.Key)
+	}
+	own, cancel := context.WithTimeout(ctx, j.patience)
+	defer cancel()
+	entry, err := j.config.Rows.Get(own, j.config.Table, j.config.Key)
+	if err == nil {
+		return entry, nil
+	}
+	advice := j.config.Network.read(ctx, j.config.Key, true)
+	j.advise(advice.kept)
+	if advice.row == nil {
+		return bfstore.Entry{}, err
+	}
+	return *advice.row, nil
+}
+
+// consult asks other nodes for departures that they keep, unless the row is read meanwhile.
+func (j *Journal) consult(ctx context.Context) error {
+	for pause := consultDelay; j.config.Timer.Wait(ctx, pause) == nil && !j.consulted.Load(); pause = consultInterval {
+		advice := j.config.Network.read(ctx, j.config.Key, false)
+		if advice.asked == 0 {
+			continue
+		}
+		j.advise(advice.kept)
+		j.consulted.Store(true)
+		j.config.Logger.Emit(bflog.DeparturesAdvised, slog.Int("nodes", advice.asked), slog.Int("departures", len(advice.kept)))
+	}
+	return nil
+}
+
+// advise passes on departures that other nodes kept. The store may lack them, so that they count as not yet
+// written: a report of one of them must not be acknowledged before.
+func (j *Journal) advise(kept []bflifecycle.Departure) {
+	if len(kept) == 0 {
+		return
+	}
+	j.mu.Lock()
+	j.earlier = merge(j.earlier, kept)
+	j.changes++
+	j.mu.Unlock()
+	j.config.Advised(kept)
+}
+
 // read reads the row and passes on what earlier processes recorded.
 func (j *Journal) read(ctx context.Context) error {
-	entry, err := j.config.Rows.Get(ctx, j.config.Table, j.config.Key)
+	entry, err := j.get(ctx)
 	if err != nil {
 		return err
 	}
@@ -220,16 +310,41 @@
 	if complete {
 		j.era = era
 	}
+	j.mu.Lock()
 	j.earlier = merge(j.earlier, departures)
-	j.config.Logger.Emit(bflog.DeparturesLoaded, slog.Int("departures", len(j.earlier)), slog.Bool("complete", complete))
-	j.config.Loaded(j.earlier, complete)
+	departures = j.earlier
+	j.mu.Unlock()
+	j.config.Logger.Emit(bflog.DeparturesLoaded, slog.Int("departures", len(departures)), slog.Bool("complete", complete))
+	j.config.Loaded(departures, complete)
+	j.consulted.Store(true)
 	return nil
 }
 
+// put writes the row, through another node if the store doesn't answer this one. The condition keeps a write
+// whose answer was lost from being made twice.
+func (j *Journal) put(ctx context.Context, write bfstore.RowWrite) (bfstore.Revision, error) {
+	j.writes.Add(1)
+	if j.config.Network == nil {
+		return j.config.Rows.Write(ctx, j.config.Table, write)
+	}
+	own, cancel := context.WithTimeout(ctx, j.patience)
+	defer cancel()
+	revision, err := j.config.Rows.Write(own, j.config.Table, write)
+	var conflict *bfstore.ConflictError
+	if err == nil || errors.As(err, &conflict) || ctx.Err() != nil {
+		return revision, err
+	}
+	revision, relayErr := j.config.Network.write(ctx, write)
+	if relayErr != nil {
+		// An unknown outcome of either write is one of both.
+		return 0, errors.Join(err, relayErr)
+	}
+	return revision, nil
+}
+
 // write writes the row.
 func (j *Journal) write(ctx context.Context, value []byte) error {
-	j.writes.Add(1)
-	revision, err := j.config.Rows.Write(ctx, j.config.Table, bfstore.RowWrite{Key: j.config.Key, Value: value, Revision: j.revision})
+	revision, err := j.put(ctx, bfstore.RowWrite{Key: j.config.Key, Value: value, Revision: j.revision})
 	var conflict *bfstore.ConflictError
 	var unknown *bfstore.UnknownError
 	if errors.As(err, &conflict) || errors.As(err, &unknown) {
--- a/lib/bfdeparture/journal_test.go
+++ b/lib/bfdeparture/journal_test.go
@@ -77,20 +77,32 @@
 	tracker *bflifecycle.Tracker
 }
 
-func start(s *store, first bool) *process {
+func start(s *store, first bool) *process { return startIn(nil, s, first) }
+
+// startIn starts a process of a node that knows the keepers of c.
+func startIn(c *cluster, s *store, first bool) *process {
 	p := &process{group: bfgroup.New(context.Background()), tracker: bflifecycle.NewTracker("portal")}
 	if !first {
 		p.tracker.AwaitDepartures()
 	}
 	timer := bftimer.New(1)
-	p.journal = New(Config{
+	config := Config{
 		Table: "departures", Key: "n", Rows: s, Era: s.Era, FirstStart: first, Timer: timer, Logger: bflog.Discard(), Metrics: bfmetric.New(),
 		Loaded: func(departures []bflifecycle.Departure, complete bool) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
 			p.tracker.LearnDepartures(departures, complete, time.Now())
 		},
-	})
+		Advised: func(departures []bflifecycle.Departure) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.tracker.AddDepartures(departures)
+		},
+	}
+	if c != nil {
+		config.Network = &Network{Calls: c, Keepers: c.addresses, Spawn: p.group.Go}
+	}
+	p.journal = New(config)
 	p.group.Go("timer", timer.Run)
 	p.group.Go("journal", p.journal.Run)
 	return p
--- a/lib/bfhost/report.go
+++ b/lib/bfhost/report.go
@@ -45,6 +45,11 @@
 	h.change(func(tr *bflifecycle.Tracker) bool { return tr.LearnDepartures(departures, complete, now) })
 }
 
+// AddDepartures adds departures that earlier processes of the node were told of, as far as other nodes know.
+func (h *Host) AddDepartures(departures []bflifecycle.Departure) {
+	h.change(func(tr *bflifecycle.Tracker) bool { return tr.AddDepartures(departures) })
+}
+
 // change applies fn to the tracker and reports a changed view to Config.Changed and new departures to
 // Config.Departed, in the order of the changes.
 func (h *Host) change(fn func(*bflifecycle.Tracker) bool) {
--- a/lib/bfhost/verify.go
+++ b/lib/bfhost/verify.go
@@ -16,6 +16,9 @@
 	// leads to new ones.
 	verifyInterval = 250 * time.Millisecond
 	maxQuestions   = 4
+	// pathInterval is the time between two looks for the path, of which maxLooks are made.
+	pathInterval = 50 * time.Millisecond
+	maxLooks     = 20
 )
 
 // Verification is the answer of a start to the question whether it accepts requests.
@@ -46,14 +49,11 @@
 	}
 	h.config.Spawn("verify target", func(ctx context.Context) error {
 		defer h.verifying.Store(false)
-		for question := range maxQuestions {
+		path := h.awaitHealthPath(ctx)
+		for question := 0; path != "" && question < maxQuestions; question++ {
 			if question > 0 && h.config.Timer.Wait(ctx, verifyInterval) != nil {
 				return nil
 			}
-			path := h.config.HealthPath()
-			if path == "" {
-				continue
-			}
 			if v, ok := h.ask(ctx, beat, path); ok {
 				h.applyVerification(v)
 				return nil
@@ -63,6 +63,16 @@
 	})
 }
 
+// awaitHealthPath returns the path of the question, "" if it stays unknown.
+func (h *Host) awaitHealthPath(ctx context.Context) string {
+	for range maxLooks {
+		if path := h.config.HealthPath(); path != "" || h.config.Timer.Wait(ctx, pathInterval) != nil {
+			return path
+		}
+	}
+	return ""
+}
+
 // ask asks a start once whether it accepts requests; ok is false without an answer.
 func (h *Host) ask(ctx context.Context, beat bflifecycle.Heartbeat, path string) (v Verification, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
--- a/lib/bflifecycle/awaiting.go
+++ b/lib/bflifecycle/awaiting.go
@@ -68,13 +68,20 @@
 	return held.latest != nil && held.latest.Incarnation == incarnation && tr.ApplyHeartbeat(*held.latest, now)
 }
 
+// AddDepartures adds departures that earlier processes were told of, of which there may be more, and reports
+// whether the view changed.
+func (tr *Tracker) AddDepartures(departures []Departure) (changed bool) {
+	added := slices.DeleteFunc(slices.Clone(departures), func(d Departure) bool { return slices.Contains(tr.departed, d) })
+	tr.departed = append(added, tr.departed...)
+	tr.departed = tr.departed[max(0, len(tr.departed)-maxEndedStarts):]
+	return tr.drainIfLeft(FromDeparture)
+}
+
 // LearnDepartures adds the departures that earlier processes were told of, applies what was held back, and
 // reports whether the view changed. If complete is not set, further ones may have been lost with the store:
 // a start has to be confirmed until maxHeartbeatDelay has passed.
 func (tr *Tracker) LearnDepartures(departures []Departure, complete bool, now time.Time) (changed bool) {
-	tr.departed = append(slices.Clone(departures), tr.departed...)
-	tr.departed = tr.departed[max(0, len(tr.departed)-maxEndedStarts):]
-	changed = tr.drainIfLeft(FromDeparture)
+	changed = tr.AddDepartures(departures)
 	held := tr.awaiting
 	if held == nil {
 		return changed
--- a/lib/bflog/events.go
+++ b/lib/bflog/events.go
@@ -112,6 +112,7 @@
 	DepartureReported      = declare(4122, slog.LevelInfo, "target reported its departure", "Nothing; it receives no new requests, and 4104 follows if it was the current one.")
 	TargetVerified         = declare(4125, slog.LevelInfo, "target answered whether it accepts requests", "Nothing; it is asked after a restart of the node while it isn't known which targets have left. If it says that it doesn't accept any, it is not used until the store can be read.")
 	DeparturesLoaded       = declare(3112, slog.LevelInfo, "departures of earlier processes read", "Nothing; if complete is false, the store was restored from a copy, and a target is used once it answers that it accepts requests (4125).")
+	DeparturesAdvised      = declare(3115, slog.LevelInfo, "other nodes asked for departures, the store did not answer", "Nothing; departures is the number that they kept.")
 	DepartureRecorded      = declare(3113, slog.LevelInfo, "departure recorded in the store", "Nothing; it is acknowledged now.")
 	DeparturesUnrecorded   = declare(3114, slog.LevelWarn, "departures could not be read or recorded", "Nothing; it is retried. Departures of the target are not acknowledged until then, and it receives no requests. After a restart a target is used once it answers that it accepts requests (4125).")
 	FrameInvalid           = declare(4123, slog.LevelWarn, "connection from another node closed, invalid frame", "Find out which program sends to the inbound port, or which release the other node is of.")
