--- /dev/null
+++ b/lib/bfentry/disconnect_test.go
@@ -0,0 +1,80 @@
+package bfentry
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bilberryflow.org/lib/bfgroup"
+)
+
+// Guards against a request that waits for a slot after its caller has left, and runs, and against one that is
+// not repeatable and is cut off at its target, since its caller has left.
+func TestRequestsOfCallersThatLeave(t *testing.T) {
+	for name, c := range map[string]struct {
+		method, path string
+		// finishes is set if a request that runs is finished without its caller.
+		finishes bool
+	}{
+		"repeatable":     {http.MethodGet, "/look/", false},
+		"not repeatable": {http.MethodPost, "/approve/", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			var waiting, finished, cancelled atomic.Int32
+			m := newMesh(t, generous, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == c.path+"waiting" {
+					waiting.Add(1)
+				}
+				select {
+				case <-release:
+					finished.Add(1)
+				case <-r.Context().Done():
+					cancelled.Add(1)
+				}
+				hello(w, r)
+			})
+			group := bfgroup.New(context.Background())
+			send := func(ctx context.Context, path string) {
+				group.Go("caller", func(context.Context) error {
+					r, err := http.NewRequestWithContext(ctx, c.method, m.front.URL+c.path+path, nil)
+					if err != nil {
+						return err
+					}
+					r.Host = "h.example"
+					r.Header.Set(names.RequestID, path)
+					response, err := http.DefaultClient.Do(r)
+					if err == nil {
+						response.Body.Close()
+					}
+					return nil
+				})
+			}
+			stays := context.Background()
+			leaves, leave := context.WithCancel(stays)
+			defer leave()
+			send(leaves, "running")
+			for range slots - 1 {
+				send(stays, "beside")
+			}
+			m.await(func() bool { return m.runs() == slots })
+			send(leaves, "waiting")
+			time.Sleep(50 * time.Millisecond)
+			leave()
+			time.Sleep(100 * time.Millisecond)
+			close(release)
+			m.NoErr(group.Wait())
+			m.awaitIdle()
+			time.Sleep(50 * time.Millisecond)
+			m.Equal(waiting.Load(), int32(0))
+			wantFinished := int32(slots)
+			if !c.finishes {
+				wantFinished--
+			}
+			m.Equal(finished.Load(), wantFinished)
+			m.Equal(cancelled.Load(), slots-wantFinished)
+		})
+	}
+}
--- a/lib/bfentry/handler.go
+++ b/lib/bfentry/handler.go
@@ -199,13 +199,9 @@
 }
 
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, c *call) {
-	ctx := r.Context()
-	if !c.route.Kind().Repeatable() {
-		// The target finishes such a request even if its caller disconnects: if it
-		// were cancelled, its outcome would stay unknown.
-		ctx = context.WithoutCancel(ctx)
-	}
-	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	// A request whose caller disconnects leaves the queue of its target. One that is not repeatable is
+	// finished once it was sent to the target: its node doesn't cancel it.
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	if !h.admitQuota(ctx, w, c) {
 		return
