Callers that leave are no failures of their targets

What callers saw: targets were avoided for some seconds since callers of theirs had left.

Cause: the entry ends the request of a caller that has left by breaking the connection to the target's node, and then counted the broken connection against the target. (The node itself doesn't.)

Such a result is not counted.

--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -358,6 +358,10 @@
 			return
 		}
 	case bfhost.Lost:
+		if c.caller.Err() != nil {
+			// The entry itself has ended the request.
+			return
+		}
 		if !result.UnderLoad {
 			target.RecordResult(true, now)
 		}
--- a/lib/bfentry/disconnect_test.go
+++ b/lib/bfentry/disconnect_test.go
@@ -78,3 +78,32 @@
 		})
 	}
 }
+
+// Guards against a target that gets fewer requests since its callers leave: the entry ends those itself.
+func TestCallerThatLeavesIsNoFailureOfTheTarget(t *testing.T) {
+	var began atomic.Int32
+	m := newMesh(t, generous, func(_ http.ResponseWriter, r *http.Request) {
+		began.Add(1)
+		<-r.Context().Done()
+	})
+	demand := m.entry.Demand(m.entry.config.Traffic.Current().Match("h.example", "/look/1"), "portal")
+	cost := m.fleet.Rank(demand, time.Now())[0].Cost
+	for request := range int32(8) {
+		ctx, leave := context.WithCancel(context.Background())
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, m.front.URL+"/look/1", nil)
+		m.NoErr(err)
+		r.Host = "h.example"
+		group := bfgroup.New(context.Background())
+		group.Go("leave", func(context.Context) error {
+			m.await(func() bool { return began.Load() > request })
+			leave()
+			return nil
+		})
+		_, err = http.DefaultClient.Do(r)
+		m.True(err != nil)
+		m.NoErr(group.Wait())
+		m.awaitIdle()
+	}
+	m.await(func() bool { return m.entry.Active() == 0 })
+	m.Equal(m.fleet.Rank(demand, time.Now())[0].Cost, cost)
+}
