A port that stops closes the connections that it has not accepted

What callers saw: a connection that they had just opened to a node that stops was reset. TestStopWaitsForRequestsInProgress failed once for it.

Cause, suspected before and shown now: the system resets connections that the listener has not accepted when it is closed. In a test of 20 connections that are opened before the server begins to accept, the first one read was reset in the first run (TestStopClosesConnectionsThatWereNotAccepted).

The port accepts what waits, closes the listener, then closes these connections, of which nothing was read.

--- a/lib/bfpipeline/pipeline_test.go
+++ b/lib/bfpipeline/pipeline_test.go
@@ -416,6 +416,31 @@
 	p.Equal(p.server.OpenConnections(), 0)
 }
 
+// Guards against connections that are reset since the server has not accepted them yet when it stops.
+func TestStopClosesConnectionsThatWereNotAccepted(t *testing.T) {
+	const connections = 20
+	p := serve(t, http.NotFoundHandler(), Limits{})
+	for range 20 {
+		server, err := Listen("127.0.0.1:0", p.server.config)
+		p.NoErr(err)
+		var dialed []net.Conn
+		for range connections {
+			conn, err := net.Dial("tcp", server.Address())
+			p.NoErr(err)
+			defer conn.Close()
+			dialed = append(dialed, conn)
+		}
+		group := bfgroup.New(context.Background())
+		group.Go("port", server.Start)
+		p.NoErr(server.Stop(context.Background()))
+		p.NoErr(group.Wait())
+		for _, conn := range dialed {
+			_, err := conn.Read(make([]byte, 1))
+			p.True(errors.Is(err, io.EOF))
+		}
+	}
+}
+
 // Guards against Stop waiting, beyond its context, for a handler that does not return.
 func TestStopDoesNotWaitForStuckHandlers(t *testing.T) {
 	release, began := make(chan struct{}), make(chan struct{})
--- a/lib/bfpipeline/server.go
+++ b/lib/bfpipeline/server.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"bilberryflow.org/lib/bfgroup"
@@ -186,7 +187,7 @@
 // Stop accepts no more connections, waits until the requests already read are answered,
 // and closes the remaining connections when ctx ends, returning its error.
 func (s *Server) Stop(ctx context.Context) error {
-	s.listener.Close()
+	s.closeListener()
 	for _, c := range s.beginStop() {
 		c.stop()
 	}
@@ -203,6 +204,40 @@
 	return ctx.Err()
 }
 
+// closeListener closes the listener and the connections that wait to be accepted: the system would reset
+// them.
+func (s *Server) closeListener() {
+	waiting := s.acceptWaiting()
+	s.listener.Close()
+	for _, fd := range waiting {
+		// Nothing was read from the connection, so that nothing is lost.
+		_ = syscall.Close(fd)
+	}
+}
+
+// acceptWaiting accepts the connections that wait, and returns their descriptors.
+func (s *Server) acceptWaiting() (waiting []int) {
+	listener, ok := s.listener.(*net.TCPListener)
+	if !ok {
+		return nil
+	}
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	// The listener may be closed already; nothing waits then.
+	_ = raw.Control(func(listening uintptr) {
+		for {
+			fd, _, err := syscall.Accept4(int(listening), syscall.SOCK_CLOEXEC)
+			if err != nil {
+				return
+			}
+			waiting = append(waiting, fd)
+		}
+	})
+	return waiting
+}
+
 // beginStop marks the server as stopping and returns the open connections.
 func (s *Server) beginStop() []*connection {
 	s.mu.Lock()
