A node asks its target as well if it is the only member

Cause, from the log of that run: the three other targets had left, so the node found itself as the only member; the store answered the tables of members and of configuration and fell silent before the departures. The node waited for keepers to ask before it asked its target, and there were none.

Where the members are known and none is a keeper, nobody knows more. TestNodeConsultsOthersOnceTheMembersAreKnown fails without it.

--- a/bfnode/internal/bfmesh/departures.go
+++ b/bfnode/internal/bfmesh/departures.go
@@ -17,6 +17,7 @@
 		Table: departuresTable, Key: n.common.Inbound, Rows: n.store, Era: n.store.Era, FirstStart: n.settings.FirstStart,
 		Loaded: n.host.LearnDepartures, Advised: n.host.AddDepartures, Network: &bfdeparture.Network{
 			Calls: n.calls, Spawn: n.group.Go,
+			MembersKnown: func() bool { return n.state.Revision() > 0 },
 			Keepers: func() []string {
 				return bfdeparture.Keepers(n.common.Inbound, n.common.FailureDomain, n.fleet.Members())
 			},
--- a/lib/bfdeparture/journal.go
+++ b/lib/bfdeparture/journal.go
@@ -264,10 +264,10 @@
 // consult asks other nodes for departures that they keep, unless the row is read meanwhile.
 func (j *Journal) consult(ctx context.Context) error {
 	for pause := consultDelay; j.config.Timer.Wait(ctx, pause) == nil && !j.consulted.Load(); pause = consultInterval {
-		advice := j.config.Network.read(ctx, j.config.Key, false)
-		if advice.asked == 0 {
+		if !j.config.Network.MembersKnown() {
 			continue
 		}
+		advice := j.config.Network.read(ctx, j.config.Key, false)
 		j.advise(advice.kept)
 		j.consulted.Store(true)
 		j.config.Logger.Emit(bflog.DeparturesAdvised, slog.Int("nodes", advice.asked), slog.Int("departures", len(advice.kept)))
--- a/lib/bfdeparture/journal_test.go
+++ b/lib/bfdeparture/journal_test.go
@@ -100,7 +100,7 @@
 		},
 	}
 	if c != nil {
-		config.Network = &Network{Calls: c, Keepers: c.addresses, Spawn: p.group.Go}
+		config.Network = &Network{Calls: c, Keepers: c.addresses, MembersKnown: func() bool { return !c.unknown.Load() }, Spawn: p.group.Go}
 	}
 	p.journal = New(config)
 	p.group.Go("timer", timer.Run)
--- a/lib/bfdeparture/network.go
+++ b/lib/bfdeparture/network.go
@@ -21,8 +21,10 @@
 // Network holds what a Journal needs of the other nodes.
 type Network struct {
 	Calls Caller
-	// Keepers returns the peer addresses of the nodes that keep this node's departures.
-	Keepers func() []string
+	// Keepers returns the peer addresses of the nodes that keep this node's departures, and MembersKnown
+	// whether the members are known from which they are chosen.
+	Keepers      func() []string
+	MembersKnown func() bool
 	// Spawn starts a goroutine in the node's group.
 	Spawn func(name string, fn func(ctx context.Context) error)
 }
--- a/lib/bfdeparture/network_test.go
+++ b/lib/bfdeparture/network_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,6 +25,8 @@
 type cluster struct {
 	// shared is the store as the keepers reach it.
 	shared *store
+	// unknown is set while the members are not known.
+	unknown atomic.Bool
 
 	mu      sync.Mutex
 	keepers map[string]*Keeper
@@ -160,6 +163,25 @@
 	})
 }
 
+// Guards against a node that asks its target before the members are known, and against one that never does
+// since it is the only member.
+func TestNodeConsultsOthersOnceTheMembersAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStore()
+		c := newCluster(s, 0)
+		c.unknown.Store(true)
+		s.set(true, false)
+		p := startIn(c, s, false)
+		time.Sleep(time.Minute)
+		is.True(!p.journal.Consulted())
+		c.unknown.Store(false)
+		time.Sleep(2 * consultInterval)
+		is.True(p.journal.Consulted())
+		p.kill()
+	})
+}
+
 // Guards against calls of a store that doesn't answer, for each question of another node.
 func TestKeeperSparesAStoreThatDoesNotAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
