Test of the follower that replaces lost relays waits for all followers

Traced: the follower that took over was not the first but the middle one. The test waited until the last follower had received an update and then ended the relays. The middle one had received none by then, so its timeout ran from its start, 420 ms before, and ended before that of the first one, which is 0.3 s shorter. What was suspected (a stall of the machine that uses up the stagger) was not seen.

--- a/lib/bfnews/news_test.go
+++ b/lib/bfnews/news_test.go
@@ -461,7 +461,10 @@
 	sources := []string{d.plan.relays[0].Inbound, d.plan.relays[1].Inbound}
 	waitFor(t, "only the sources read the store", func() bool { return slices.Equal(d.readers(), sources) })
 	last := d.exchanges[d.plan.domain[4].Inbound]
-	waitFor(t, "the last follower receives updates", last.ReceivesFresh)
+	for _, follower := range d.plan.domain[relaysPerDomain:] {
+		// The timeout of one that has received none runs from its start.
+		waitFor(t, "all followers receive updates", d.exchanges[follower.Inbound].ReceivesFresh)
+	}
 	for _, address := range sources {
 		d.groups[address].Cancel()
 	}
