A slow store is waited for before other nodes are asked to write

A store that takes half a second for a write, as a slow one does, is asked for 0.4 s; then three nodes ask it for the same write, the outcome of all is unknown, and the report is acknowledged only after another read. A node waits for 0.6 s, which leaves 0.3 s for another node's write.

--- a/lib/bfdeparture/journal.go
+++ b/lib/bfdeparture/journal.go
@@ -144,8 +144,8 @@
 	maxBackoff    = time.Second
 	backoffJitter = 0.3
 	// minPatience and maxPatience bound the time of a call of the store. A silent store must leave other
-	// nodes the time to write the row before the target repeats its report; a slow one needs longer.
-	minPatience = 400 * time.Millisecond
+	// nodes the time to write the row before the target repeats its report; a slow one takes half a second.
+	minPatience = 600 * time.Millisecond
 	maxPatience = 2 * time.Second
 	// consultDelay is longer than the store takes, consultInterval the time between two looks for members.
 	consultDelay    = 100 * time.Millisecond
--- a/lib/bfdeparture/journal_test.go
+++ b/lib/bfdeparture/journal_test.go
@@ -27,9 +27,30 @@
 	mu        sync.Mutex
 	down      bool
 	loseReply bool
+	delay     time.Duration
 	calls     int
 }
 
+// slow has each write take a time.
+func (s *store) slow(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = delay
+}
+
+// await waits for the delay in force, or until ctx ends.
+func (s *store) await(ctx context.Context) error {
+	s.mu.Lock()
+	delay := s.delay
+	s.mu.Unlock()
+	select {
+	case <-time.After(delay):
+		return nil
+	case <-ctx.Done():
+		return &bfstore.UnknownError{Reason: "test"}
+	}
+}
+
 func (s *store) set(down, loseReply bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -62,6 +83,9 @@
 	if down {
 		return 0, &bfstore.UnavailableError{Reason: "test"}
 	}
+	if err := s.await(ctx); err != nil {
+		return 0, err
+	}
 	revision, err := s.MemoryTableStore.Write(ctx, table, writes...)
 	if loseReply {
 		return 0, &bfstore.UnknownError{Reason: "test"}
--- a/lib/bfdeparture/network_test.go
+++ b/lib/bfdeparture/network_test.go
@@ -300,3 +300,20 @@
 		})
 	}
 }
+
+// Guards against a departure that is acknowledged later since the store is slow and other nodes are asked to
+// write what it is about to write.
+func TestSlowStoreIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStore()
+		c := newCluster(s, 3)
+		p := startIn(c, s, true)
+		p.heartbeat(beat("a", 1))
+		time.Sleep(time.Second)
+		s.slow(500 * time.Millisecond)
+		is.True(p.depart("a"))
+		is.Equal(s.callCount(), 1)
+		p.kill()
+	})
+}
