--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -388,15 +388,3 @@
 	c.updateHealth(target, c.handler.config.Host.Health(c.route.Name()))
 	return result
 }
-
-// updateHealth applies the health that a target's node reported.
-func (c *call) updateHealth(target *bffleet.Target, health bfhost.Health) {
-	slowness := 0.0
-	if health.MeanRunTime > 0 {
-		if usual := c.handler.runTimes.Get(c.route.Name()); usual > 0 {
-			slowness = float64(health.MeanRunTime) / float64(usual)
-		}
-		c.handler.runTimes.Add(c.route.Name(), health.MeanRunTime.Nanoseconds())
-	}
-	target.ReportHealth(health.FailureRate, slowness, c.handler.config.Timer.Now())
-}
--- a/lib/bfentry/disconnect_test.go
+++ b/lib/bfentry/disconnect_test.go
@@ -99,7 +99,10 @@
 			leave()
 			return nil
 		})
-		_, err = http.DefaultClient.Do(r)
+		response, err := http.DefaultClient.Do(r)
+		if err == nil {
+			response.Body.Close()
+		}
 		m.True(err != nil)
 		m.NoErr(group.Wait())
 		m.awaitIdle()
