Soak: a departed target whose heartbeats are late while the store is down

Scenario "targets depart, then the store is down": a departure is acknowledged, the store is down for 6 s from then on, the node is killed or stopped and started again, and two heartbeats from before the departure arrive 3.0 and 4.4 s after it; the target serves on for 7 s. Two targets at a time, five nodes.

--- a/bftrial/internal/bffleet/mesh.go
+++ b/bftrial/internal/bffleet/mesh.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"bilberryflow.org/platform/bfdialect"
 )
 
 // MeshSettings is the settings file of a bfnode whose configuration is stored on the platform.
@@ -37,6 +39,16 @@
 // ReadyAddress returns the address of the node's readiness endpoint.
 func (n *MeshNode) ReadyAddress() string { return n.settings.Mesh["ready"].(string) }
 
+// IsReady asks the node once whether it takes callers.
+func (n *MeshNode) IsReady(client *http.Client) bool {
+	response, err := client.Get("http://" + n.ReadyAddress() + bfdialect.ReadyPath)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
 // StartMeshNode starts a node that connects to the store at an address; ports are filled in, and what Mesh doesn't set.
 func (f *Fleet) StartMeshNode(settings MeshSettings, store string) (*MeshNode, error) {
 	settings.Region = "trial"
--- a/bftrial/internal/bfrunlog/periods.go
+++ b/bftrial/internal/bfrunlog/periods.go
@@ -37,15 +37,25 @@
 	return false
 }
 
-// Settling reports whether there was a planned or unplanned fault between two times, or less than
-// settle before.
-func (p *FaultPeriods) Settling(from, to time.Time, planned bool, settle time.Duration) bool {
+// SettleTime is how long the effects of a fault may last after it ends.
+const SettleTime = 4 * time.Second
+
+// Had reports whether there was a planned or unplanned fault between two times, or less than SettleTime
+// before.
+func (p *FaultPeriods) Had(from, to time.Time, planned bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, period := range p.all {
-		if period.Planned == planned && from.Before(period.To.Add(settle)) && to.After(period.From) {
+		if period.Planned == planned && from.Before(period.To.Add(SettleTime)) && to.After(period.From) {
 			return true
 		}
 	}
 	return false
 }
+
+// During injects a fault and records its period.
+func (p *FaultPeriods) During(planned bool, fault func()) {
+	began := time.Now()
+	fault()
+	p.Add(FaultPeriod{From: began, To: time.Now(), Planned: planned})
+}
--- a/bftrial/internal/bfsimtarget/departure.go
+++ b/bftrial/internal/bfsimtarget/departure.go
@@ -11,8 +11,9 @@
 type Departure struct {
 	// Announced is set if the target reports that it drains, otherwise it sends its departure.
 	Announced bool
-	// Late is set if a heartbeat from before the departure arrives lateBy after it.
-	Late bool
+	// Late is the number of heartbeats from before the departure that arrive after it, the first one
+	// lateBy after the acknowledgement.
+	Late int
 	// AckLimit is how long the target repeats the report until it is acknowledged.
 	AckLimit time.Duration
 	// Acknowledged is called once it is.
@@ -22,6 +23,8 @@
 const (
 	// lateBy is how long after the acknowledgement a late heartbeat arrives.
 	lateBy = 3 * time.Second
+	// lateInterval is the time between two late heartbeats.
+	lateInterval = 1400 * time.Millisecond
 	// servingOn is how long a departed target still serves.
 	servingOn = 7 * time.Second
 	// retryInterval is the time between two attempts to report a departure.
@@ -31,7 +34,10 @@
 // Depart reports that the target leaves, serves on for a while and exits. The error is that of the last
 // attempt if the report was not acknowledged.
 func (t *Target) Depart(ctx context.Context, d Departure) error {
-	held := t.heartbeat()
+	var held []bflifecycle.Heartbeat
+	for range d.Late {
+		held = append(held, t.heartbeat())
+	}
 	t.state.Store(0) // ends the heartbeats
 	if err := t.reportDeparture(ctx, d); err != nil {
 		t.Exit()
@@ -40,10 +46,10 @@
 	acknowledged := time.Now()
 	t.config.Log.RecordDeparture(t.id)
 	d.Acknowledged()
-	if d.Late {
-		time.Sleep(time.Until(acknowledged.Add(lateBy)))
+	for i, beat := range held {
+		time.Sleep(time.Until(acknowledged.Add(lateBy + time.Duration(i)*lateInterval)))
 		// The node may be down at this moment; the heartbeat is lost then.
-		_ = t.reports.SendHeartbeat(ctx, held)
+		_ = t.reports.SendHeartbeat(ctx, beat)
 	}
 	time.Sleep(time.Until(acknowledged.Add(servingOn)))
 	t.Exit()
--- a/bftrial/internal/bfsoak/check.go
+++ b/bftrial/internal/bfsoak/check.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"bilberryflow.org/bftrial/internal/bfcallerclient"
+	"bilberryflow.org/bftrial/internal/bfrunlog"
 	"bilberryflow.org/lib/bftraffic"
 )
 
@@ -27,7 +29,7 @@
 	process := n.process.Process()
 	h.mu.Lock()
 	newest, seen := h.version, h.seen[process]
-	late := time.Since(h.committed[newest]) > maxApplyDelay && time.Since(h.storeFaultEnd) > maxApplyDelay+settleTime
+	late := time.Since(h.committed[newest]) > maxApplyDelay && time.Since(h.storeFaultEnd) > maxApplyDelay+bfrunlog.SettleTime
 	h.mu.Unlock()
 	o := h.sendRequest(ctx, client, n, true, fmt.Sprintf("v%d", newest))
 	switch {
@@ -39,7 +41,7 @@
 		h.mu.Unlock()
 	case o.Status == http.StatusNotFound && seen >= newest:
 		h.addViolation("node %s rolled back: it no longer serves version %d", process.Name(), seen)
-	case o.Status == http.StatusNotFound && late && !n.hadFault(o.Began.Add(-maxApplyDelay), o.Ended, false) && !n.hadFault(o.Began.Add(-maxApplyDelay), o.Ended, true):
+	case o.Status == http.StatusNotFound && late && !n.periods.Had(o.Began.Add(-maxApplyDelay), o.Ended, false) && !n.periods.Had(o.Began.Add(-maxApplyDelay), o.Ended, true):
 		h.addViolation("node %s has not applied version %d %v after it was written", process.Name(), newest, time.Since(h.committedAt(newest)))
 	}
 }
@@ -77,8 +79,8 @@
 func (h *harness) checkOutcome(o outcome) {
 	violation := o.Violation(bfcallerclient.Circumstances{
 		Runs: h.runLog.RunCount(o.ID), AnswerLimit: routeTimeout + maxAnswerDelay,
-		Calm:            !o.node.hadFault(o.Began, o.Ended, false),
-		Maintained:      o.node.hadFault(o.Began, o.Ended, true) && !h.anyUnplannedFault(o),
+		Calm:            !o.node.periods.Had(o.Began, o.Ended, false),
+		Maintained:      o.node.periods.Had(o.Began, o.Ended, true) && !h.anyUnplannedFault(o),
 		KeyMayBeUnknown: h.ledger.MayBeUnknown(o.ID, o.Ended),
 	})
 	if violation != "" {
@@ -88,10 +90,5 @@
 
 // anyUnplannedFault reports whether any node had an unplanned fault during the request.
 func (h *harness) anyUnplannedFault(o outcome) bool {
-	for _, n := range h.allNodes() {
-		if n.hadFault(o.Began, o.Ended, false) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(h.allNodes(), func(n *nodeSlot) bool { return n.periods.Had(o.Began, o.Ended, false) })
 }
--- a/bftrial/internal/bfsoak/departing.go
+++ b/bftrial/internal/bfsoak/departing.go
@@ -15,14 +15,18 @@
 	lateHeartbeats = "late heartbeats of departed targets"
 	storedRows     = "targets depart while the store is down"
 	departingOnly  = "targets depart, nodes run on"
+	storeLost      = "targets depart, then the store is down"
 	turnedAway     = "targets depart, the store refuses their nodes"
 )
 
 // departure is how the target of a node departs.
 type departure struct {
-	announced, late bool
-	// storeDown is set if the store is down when the target departs.
-	storeDown bool
+	announced bool
+	// late is the number of heartbeats that arrive after the departure.
+	late int
+	// storeDown is set if the store is down when the target departs, storeLost if it is from the
+	// acknowledgement on.
+	storeDown, storeLost bool
 	// refused is set if the store refuses the node from before the departure until the target has ended.
 	refused bool
 	// restart restarts the node once the departure was acknowledged; nil for no restart.
@@ -36,6 +40,8 @@
 	rosterDelay = 2 * time.Second
 	// departureOutage is how long the store is down around a departure.
 	departureOutage = 1500 * time.Millisecond
+	// lostOutage is how long the store is down after a departure, longer than late heartbeats take.
+	lostOutage = 6 * time.Second
 	// maxRefusedAckDelay is how long the departure may stay without acknowledgement while the store serves the
 	// other nodes.
 	maxRefusedAckDelay = 2 * time.Second
@@ -48,12 +54,15 @@
 func (h *harness) depart(n *nodeSlot, d departure) (err error) {
 	n.targetMu.Lock()
 	defer n.targetMu.Unlock()
-	n.withFault(true, func() {
+	n.periods.During(true, func() {
 		limit := maxAckDelay
 		if d.storeDown {
 			limit += departureOutage
-			h.checkError("platform fault", h.fleet.EnableFault(bffleet.Fault{Mode: "down", For: departureOutage.String()}))
-			h.extendStoreFault(time.Now().Add(departureOutage))
+			h.takeStoreDown(departureOutage)
+		}
+		if d.storeLost {
+			// Another target may have departed before.
+			limit += lostOutage
 		}
 		if d.refused {
 			limit = maxRefusedAckDelay
@@ -67,6 +76,9 @@
 		err = n.target.Depart(h.group.Context(), bfsimtarget.Departure{
 			Announced: d.announced, Late: d.late, AckLimit: limit,
 			Acknowledged: func() {
+				if d.storeLost {
+					h.takeStoreDown(lostOutage)
+				}
 				if d.restart != nil {
 					time.Sleep(d.delay)
 					d.restart(h, n, 0)
@@ -78,6 +90,12 @@
 	return err
 }
 
+// takeStoreDown has the store answer nobody for a time.
+func (h *harness) takeStoreDown(length time.Duration) {
+	h.checkError("platform fault", h.fleet.EnableFault(bffleet.Fault{Mode: "down", For: length.String()}))
+	h.extendStoreFault(time.Now().Add(length))
+}
+
 // departInTurn returns the scenario in which the targets of two nodes at a time depart.
 func departInTurn(cases ...departure) func(*harness, *nodeSlot, time.Duration) {
 	return func(h *harness, _ *nodeSlot, length time.Duration) {
--- a/bftrial/internal/bfsoak/faults.go
+++ b/bftrial/internal/bfsoak/faults.go
@@ -61,9 +61,9 @@
 
 // departing is added likewise. Beside other faults a departure may stay without acknowledgement.
 var departing = []fault{
-	{"target departs, late heartbeat", func(h *harness, n *nodeSlot, _ time.Duration) { _ = h.depart(n, departure{late: true}) }},
+	{"target departs, late heartbeat", func(h *harness, n *nodeSlot, _ time.Duration) { _ = h.depart(n, departure{late: 1}) }},
 	{"target drains, late heartbeat", func(h *harness, n *nodeSlot, _ time.Duration) {
-		_ = h.depart(n, departure{late: true, announced: true})
+		_ = h.depart(n, departure{late: 1, announced: true})
 	}},
 }
 
@@ -78,19 +78,22 @@
 	{leavesInAnswers, (*harness).leaveInTurn},
 	{endlessTargets, (*harness).sendEndlessly},
 	{lateHeartbeats, departInTurn(
-		departure{late: true, restart: (*harness).killNode}, departure{late: true, announced: true, restart: (*harness).stopNode},
-		departure{late: true, restart: (*harness).stopNode}, departure{late: true, announced: true, restart: (*harness).killNode},
+		departure{late: 1, restart: (*harness).killNode}, departure{late: 1, announced: true, restart: (*harness).stopNode},
+		departure{late: 1, restart: (*harness).stopNode}, departure{late: 1, announced: true, restart: (*harness).killNode},
 	)},
 	{storedRows, departInTurn(
 		departure{storeDown: true, restart: (*harness).killNode}, departure{storeDown: true, announced: true, restart: (*harness).killNode},
 		departure{storeDown: true, restart: (*harness).stopNode}, departure{storeDown: true, announced: true, restart: (*harness).stopNode},
 	)},
 	{turnedAway, departInTurn(
-		departure{late: true, refused: true, restart: (*harness).killNode}, departure{late: true, refused: true, announced: true},
-		departure{late: true, refused: true}, departure{late: true, refused: true, announced: true, restart: (*harness).stopNode},
+		departure{late: 1, refused: true, restart: (*harness).killNode}, departure{late: 1, refused: true, announced: true},
+		departure{late: 1, refused: true}, departure{late: 1, refused: true, announced: true, restart: (*harness).stopNode},
+	)},
+	{storeLost, departInTurn(
+		departure{late: 2, storeLost: true, restart: (*harness).killNode}, departure{late: 2, storeLost: true, announced: true, restart: (*harness).stopNode},
 	)},
 	{departingOnly, departInTurn(
-		departure{late: true}, departure{late: true, announced: true}, departure{late: true, storeDown: true}, departure{late: true, storeDown: true, announced: true},
+		departure{late: 1}, departure{late: 1, announced: true}, departure{late: 1, storeDown: true}, departure{late: 1, storeDown: true, announced: true},
 	)},
 }
 
@@ -187,7 +190,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	h.awaitStart(n)
-	n.withFault(true, func() {
+	n.periods.During(true, func() {
 		code, err := n.process.Process().Stop(stopLimit)
 		h.checkError("stop of a node", err)
 		if code != 0 {
@@ -200,7 +203,7 @@
 func (h *harness) killNode(n *nodeSlot, length time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.withFault(false, func() {
+	n.periods.During(false, func() {
 		h.checkError("kill of a node", n.process.Process().Kill())
 		time.Sleep(length / 4)
 		h.checkError("restart", h.fleet.RestartMeshNode(n.process))
@@ -210,7 +213,7 @@
 func (h *harness) pauseNode(n *nodeSlot, length time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.withFault(false, func() {
+	n.periods.During(false, func() {
 		h.checkError("pause", n.process.Process().Signal(syscall.SIGSTOP))
 		time.Sleep(length)
 		h.checkError("resume", n.process.Process().Signal(syscall.SIGCONT))
@@ -221,7 +224,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	h.awaitStart(n)
-	n.withFault(true, func() { h.checkError("hang up", n.process.Process().Signal(syscall.SIGHUP)) })
+	n.periods.During(true, func() { h.checkError("hang up", n.process.Process().Signal(syscall.SIGHUP)) })
 }
 
 // withStoreFault runs a fault of the store and records when it ended.
@@ -286,7 +289,7 @@
 func (n *nodeSlot) withTargetFault(fault func(t *bfsimtarget.Target)) {
 	n.targetMu.Lock()
 	defer n.targetMu.Unlock()
-	n.withFault(false, func() { fault(n.target) })
+	n.periods.During(false, func() { fault(n.target) })
 }
 
 func targetFault(mode bfproxy.Mode) func(*harness, *nodeSlot, time.Duration) {
@@ -347,7 +350,7 @@
 func (h *harness) replaceTarget(n *nodeSlot, length time.Duration) {
 	n.targetMu.Lock()
 	defer n.targetMu.Unlock()
-	n.withFault(true, func() {
+	n.periods.During(true, func() {
 		n.target.Stop(h.group.Context(), length > time.Second)
 		h.startNext(n)
 	})
--- a/bftrial/internal/bfsoak/harness.go
+++ b/bftrial/internal/bfsoak/harness.go
@@ -59,21 +59,6 @@
 	periods bfrunlog.FaultPeriods
 }
 
-func (n *nodeSlot) withFault(planned bool, fault func()) {
-	began := time.Now()
-	fault()
-	n.periods.Add(bfrunlog.FaultPeriod{From: began, To: time.Now(), Planned: planned})
-}
-
-// settleTime is how long the effects of a fault may last after it ends.
-const settleTime = 4 * time.Second
-
-// hadFault reports whether the node had a planned or unplanned fault between two times,
-// or less than settleTime before.
-func (n *nodeSlot) hadFault(from, to time.Time, planned bool) bool {
-	return n.periods.Settling(from, to, planned, settleTime)
-}
-
 // harness is the state of one soak.
 type harness struct {
 	options Options
@@ -229,11 +214,7 @@
 	client := &http.Client{Timeout: 500 * time.Millisecond}
 	for ctx.Err() == nil {
 		for _, n := range h.allNodes() {
-			response, err := client.Get("http://" + n.process.ReadyAddress() + bfdialect.ReadyPath)
-			if err == nil {
-				response.Body.Close()
-			}
-			n.ready.Store(err == nil && response.StatusCode == http.StatusOK)
+			n.ready.Store(n.process.IsReady(client))
 		}
 		time.Sleep(300 * time.Millisecond)
 	}
--- a/bftrial/internal/bfsoak/leaving.go
+++ b/bftrial/internal/bfsoak/leaving.go
@@ -26,7 +26,7 @@
 func (h *harness) leaveByAnswers(n *nodeSlot, _ time.Duration) {
 	n.targetMu.Lock()
 	defer n.targetMu.Unlock()
-	n.withFault(true, func() {
+	n.periods.During(true, func() {
 		h.mu.Lock()
 		h.leavings = append(h.leavings, leaving{node: n, target: n.target, process: n.process.Process()})
 		h.mu.Unlock()
--- a/bftrial/internal/bfsoak/readers.go
+++ b/bftrial/internal/bfsoak/readers.go
@@ -66,7 +66,7 @@
 	route := fmt.Sprintf("v%d", h.version)
 	h.mu.Unlock()
 	for h.sendRequest(ctx, client, n, true, route).Status != http.StatusOK {
-		if ctx.Err() != nil || time.Since(written) > 2*settleTime {
+		if ctx.Err() != nil || time.Since(written) > 2*bfrunlog.SettleTime {
 			break
 		}
 		time.Sleep(20 * time.Millisecond)
@@ -82,7 +82,7 @@
 // and returns them.
 func (h *harness) awaitFewReaders() []*nodeSlot {
 	const few = 2
-	deadline := time.Now().Add(2 * settleTime)
+	deadline := time.Now().Add(2 * bfrunlog.SettleTime)
 	for {
 		readers, err := h.storeReaders()
 		h.checkError("readers of the store", err)
--- a/bftrial/internal/bfsoak/soak_test.go
+++ b/bftrial/internal/bfsoak/soak_test.go
@@ -102,6 +102,12 @@
 	soak(t, Options{Binaries: build(t), Seed: 1, Nodes: 6, Callers: 12, Faults: 5 * time.Second, Only: storedRows})
 }
 
+// Guards against a departed target that several late heartbeats revive after a restart of its node, while
+// nobody can read the store.
+func TestLateHeartbeatsWithoutTheStoreDoNotRevive(t *testing.T) {
+	soak(t, Options{Binaries: build(t), Seed: 1, Nodes: 5, Callers: 12, Faults: 5 * time.Second, Only: storeLost})
+}
+
 // Guards against a departure that is not acknowledged, and one that is forgotten in a restart, while the store
 // refuses the node and serves the others.
 func TestDepartureAtANodeThatTheStoreRefuses(t *testing.T) {
