Test of long answers on narrow links waits for the end of its request

Traced: the caller has read the whole answer before the entry's handler has returned, which is when it counts the answer as arrived. The test asked at once.

--- a/lib/bfentry/links_test.go
+++ b/lib/bfentry/links_test.go
@@ -53,6 +53,8 @@
 	left, bytes, _ := strings.Cut(look(), "/")
 	m.True(left != "" && left[0] != '-')
 	m.Equal(bytes, "65536")
+	// The caller may have its answer before the entry is done with it.
+	m.await(func() bool { return m.entry.Active() == 0 })
 	m.Equal(m.entry.incoming.Bytes(), int64(0)) // all have arrived
 }
 
