Log and count refusals without a proof, discarded answers and repeated sends

A connection to a target keeps the IDs that it has carried, by hash and until the deadline of the request, so that a second send of a request over the same connection is counted (target_requests_repeated), beside the answers discarded for another ID and the connections opened. No logic is changed.

--- a/lib/bfentry/metrics.go
+++ b/lib/bfentry/metrics.go
@@ -38,6 +38,9 @@
 // those that were answered before the first copy.
 func (m metrics) countHedge(outcome string) { m.registry.Counter("hedges_" + outcome).Add(1) }
 
+// countUnproven counts a target's refusal that did not state that the request has not run.
+func (m metrics) countUnproven() { m.registry.Counter("refusals_unproven").Add(1) }
+
 // countOverBudget counts a retry that was granted here but refused by the target's node,
 // which has no budget left for the nested calls of the run.
 func (m metrics) countOverBudget() { m.registry.Counter("repeats_unborne").Add(1) }
--- a/lib/bfexchange/pool.go
+++ b/lib/bfexchange/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -42,8 +43,19 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn
+
+	opened, discarded, repeated atomic.Int64
 }
 
+// Opened returns the number of connections opened.
+func (c *Client) Opened() int64 { return c.opened.Load() }
+
+// Discarded returns the number of answers discarded since they were those of another request.
+func (c *Client) Discarded() int64 { return c.discarded.Load() }
+
+// Repeated returns the number of requests sent over a connection that had carried the same request.
+func (c *Client) Repeated() int64 { return c.repeated.Load() }
+
 // New makes a client without connections.
 func New(options Options) *Client {
 	return &Client{
@@ -87,6 +99,7 @@
 	// idleTimeout is how long it may be idle; idleSince is when it was last used.
 	idleTimeout time.Duration
 	idleSince   time.Time
+	history     history
 }
 
 // Preconnect opens a connection to address for the next request.
@@ -121,6 +134,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.opened.Add(1)
 	if c.options.Wrap != nil {
 		opened = c.options.Wrap(address, opened)
 	}
--- a/lib/bfoutcome/outcome.go
+++ b/lib/bfoutcome/outcome.go
@@ -24,6 +24,16 @@
 	return result.Answer.Status >= http.StatusInternalServerError
 }
 
+// PromisesNotRun reports whether callers take an answer with a status for the promise that the request
+// has not run and never will.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // MayHaveRun reports whether a target may have run the request of a result.
 func MayHaveRun(result bfhost.Result) bool {
 	switch result := result.(type) {
