A connection to a target carries a request once (REFUSED)

What callers saw: 503 for a booking that ran, with a time to come back; a client that follows it books twice.

Cause: an answer is matched to its request by the request's ID. Where all targets are full, an urgent route, a download or an answer over a narrow link goes to the best target once more, over the connection used last, which had carried its first send. A target that repeats its answer to the first send (protocol: an extra response may arrive where the next one is expected) answers both sends with the same ID: its "not run" was taken for the answer of the send that ran. The class: two exchanges that share the only name by which they are told apart.

Fix: a connection keeps the IDs that it has carried until their deadlines, and the pool gives a request the connection used last of those that have not carried it. Whatever the target repeats, the ID on a connection names one send. No connection is closed for that; one is opened only if all idle ones have carried the request (target_connections_for_repeats). An answer with an ID is no longer taken for that of a request without one, such as a health question.

--- a/bfnode/internal/bfmesh/metrics.go
+++ b/bfnode/internal/bfmesh/metrics.go
@@ -25,7 +25,7 @@
 	gauge("target_requests", n.host.Sends)
 	gauge("target_connections", n.targets.Opened)
 	gauge("target_answers_discarded", n.targets.Discarded)
-	gauge("target_requests_repeated", n.targets.Repeated)
+	gauge("target_connections_for_repeats", n.targets.Avoided)
 	gauge("requests_active", n.entry.Active)
 	gauge("link_backlog_ms", func() int64 { return n.pacer.Backlog().Milliseconds() })
 	gauge("quarantine_contents", func() int64 { return int64(n.quarantine.View().Len()) })
--- a/lib/bfexchange/answer.go
+++ b/lib/bfexchange/answer.go
@@ -91,7 +91,7 @@
 //
 // Its errors are NotSentError and LostError.
 func (c *Client) Send(ctx context.Context, address string, request *Request) (*Answer, error) {
-	k, err := c.get(ctx, address)
+	k, err := c.get(ctx, address, request)
 	if err != nil {
 		return nil, &NotSentError{Address: address, Reason: err}
 	}
@@ -100,7 +100,9 @@
 
 // sendOver is Send over a given connection, which it closes if there is no answer.
 func (c *Client) sendOver(ctx context.Context, k *conn, request *Request) (*Answer, error) {
-	c.note(ctx, k, request)
+	if id := c.historyID(request); id != 0 {
+		k.history.add(ctx, id, time.Now())
+	}
 	stopCancel := context.AfterFunc(ctx, func() { _ = k.SetDeadline(time.Unix(1, 0)) })
 	upload, err := c.write(k, request)
 	if err != nil {
@@ -119,18 +121,6 @@
 	return answer, nil
 }
 
-// note adds the request to the connection's history, if answers are matched.
-func (c *Client) note(ctx context.Context, k *conn, request *Request) {
-	if c.options.IDHeader == "" || request.ID == "" {
-		return
-	}
-	id := hashID(request.ID)
-	if k.history.has(id) {
-		c.repeated.Add(1)
-	}
-	k.history.add(ctx, id, time.Now())
-}
-
 // causeOf returns the context's error, if it has one, instead of the connection error that
 // it caused.
 func causeOf(ctx context.Context, err error) error {
@@ -149,7 +139,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if c.options.IDHeader == "" || request.ID == "" || response.Header.Get(c.options.IDHeader) == request.ID {
+		if c.options.IDHeader == "" || response.Header.Get(c.options.IDHeader) == request.ID {
 			k.idleTimeout = idleTimeoutOf(response.Header, c.options.DefaultIdleTimeout)
 			return &Answer{client: c, conn: k, reusable: reusable && !response.Close, response: response}, nil
 		}
--- a/lib/bfexchange/history.go
+++ b/lib/bfexchange/history.go
@@ -7,7 +7,8 @@
 	"time"
 )
 
-// history holds the requests that a connection has carried and that may be sent again.
+// history holds the requests that a connection has carried and that may be sent again. The answers to two
+// sends of one request can't be told apart, since both have its ID, so no connection carries both.
 type history struct{ carried []carriedRequest }
 
 // carriedRequest is a request by the hash of its ID. It is not sent again after until, which is zero if
@@ -19,8 +20,13 @@
 
 var historySeed = maphash.MakeSeed()
 
-// hashID returns the hash by which histories hold an ID.
-func hashID(id string) uint64 { return maphash.String(historySeed, id) }
+// historyID returns the hash by which histories hold a request, 0 for one whose answer is not matched.
+func (c *Client) historyID(request *Request) uint64 {
+	if c.options.IDHeader == "" || request.ID == "" {
+		return 0
+	}
+	return maphash.String(historySeed, request.ID)
+}
 
 // add adds a request that is sent with ctx.
 func (h *history) add(ctx context.Context, id uint64, now time.Time) {
--- a/lib/bfexchange/pool.go
+++ b/lib/bfexchange/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -44,7 +45,7 @@
 	mu   sync.Mutex
 	idle map[string][]*conn
 
-	opened, discarded, repeated atomic.Int64
+	opened, discarded, avoided atomic.Int64
 }
 
 // Opened returns the number of connections opened.
@@ -53,8 +54,9 @@
 // Discarded returns the number of answers discarded since they were those of another request.
 func (c *Client) Discarded() int64 { return c.discarded.Load() }
 
-// Repeated returns the number of requests sent over a connection that had carried the same request.
-func (c *Client) Repeated() int64 { return c.repeated.Load() }
+// Avoided returns the number of requests sent over a new connection since all that were idle had carried
+// the same request.
+func (c *Client) Avoided() int64 { return c.avoided.Load() }
 
 // New makes a client without connections.
 func New(options Options) *Client {
@@ -142,10 +144,10 @@
 	return &conn{Conn: opened, address: address, source: source, reader: bufio.NewReader(source), idleTimeout: c.options.DefaultIdleTimeout}, nil
 }
 
-// get returns a connection to address, pooled or new.
-func (c *Client) get(ctx context.Context, address string) (*conn, error) {
+// get returns a connection to address that has not carried the request before, pooled or new.
+func (c *Client) get(ctx context.Context, address string, request *Request) (*conn, error) {
 	for {
-		kept := c.popIdle(address)
+		kept := c.popIdle(address, c.historyID(request))
 		if kept == nil {
 			break
 		}
@@ -154,19 +156,32 @@
 		}
 		kept.Close()
 	}
+	if c.hasIdle(address) {
+		c.avoided.Add(1)
+	}
 	return c.dial(ctx, address)
 }
 
-func (c *Client) popIdle(address string) *conn {
+// hasIdle reports whether there are idle connections to address.
+func (c *Client) hasIdle(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.idle[address]) > 0
+}
+
+// popIdle takes the connection used last of those that have not carried the request with a hash; nil if
+// there is none.
+func (c *Client) popIdle(address string, id uint64) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	kept := c.idle[address]
-	if len(kept) == 0 {
-		return nil
+	for i := len(kept) - 1; i >= 0; i-- {
+		if k := kept[i]; !k.history.has(id) {
+			c.idle[address] = slices.Delete(kept, i, i+1)
+			return k
+		}
 	}
-	last := kept[len(kept)-1]
-	c.idle[address] = kept[:len(kept)-1]
-	return last
+	return nil
 }
 
 // isClean reports whether an idle connection has neither been closed by the peer nor
--- a/lib/bfexchange/request.go
+++ b/lib/bfexchange/request.go
@@ -20,7 +20,7 @@
 	Target string
 	Host   string
 	Header http.Header
-	// ID is what the answer must repeat. If it is empty, any answer is accepted.
+	// ID is what the answer must repeat. If it is empty, the answer must have none.
 	ID string
 	// Head is the beginning of the body, or all of it. It can be sent more than once.
 	Head []byte
--- a/lib/bflog/events.go
+++ b/lib/bflog/events.go
@@ -55,11 +55,11 @@
 
 // Events of requests on nodes that read their configuration from the platform.
 var (
-	RequestRefused = declare(4101, slog.LevelInfo, "request refused, not run", "The reason names the limit; the caller received a time to retry after.")
-	QuotaExceeded  = declare(4120, slog.LevelInfo, "request over the quota of its workspace, not run", "Nothing; the caller received a time to retry after. Raise rate_per_s or burst of the workspace if it is too low.")
-	RequestLost    = declare(4102, slog.LevelWarn, "no complete answer to a request, may have run", "Look for the request in the log of its target's node.")
+	RequestRefused  = declare(4101, slog.LevelInfo, "request refused, not run", "The reason names the limit; the caller received a time to retry after.")
+	QuotaExceeded   = declare(4120, slog.LevelInfo, "request over the quota of its workspace, not run", "Nothing; the caller received a time to retry after. Raise rate_per_s or burst of the workspace if it is too low.")
+	RequestLost     = declare(4102, slog.LevelWarn, "no complete answer to a request, may have run", "Look for the request in the log of its target's node.")
 	RefusalUnproven = declare(4126, slog.LevelWarn, "target refused a request without stating that it has not run", "Look for the request at the target; its release may not state which of the requests that it refuses have not run.")
-	RequestExpired = declare(4103, slog.LevelInfo, "request deadline exceeded", "If it was sent, check the target's processing times.")
+	RequestExpired  = declare(4103, slog.LevelInfo, "request deadline exceeded", "If it was sent, check the target's processing times.")
 )
 
 // Events of API keys.
