Test of a silent node sends until the node was chosen

TestSilentNodeIsNotReportedAsLost failed once in a run of the package (0.01 s, no target lost): it sent ten requests to three equal targets, chosen at random, and none of them reached the silent one, which happens once in 58 (2/3 to the tenth). It now sends at least ten, and until the silent target was chosen; its checks are the same.

--- a/lib/bfentry/silence_test.go
+++ b/lib/bfentry/silence_test.go
@@ -214,8 +214,10 @@
 	m := newMesh(t, generous, hello, hello, hello)
 	l := m.suspendable(t, m.nodes[0])
 	l.suspended.Store(true)
-	for i := range 10 {
-		m.send(http.MethodGet, fmt.Sprint("/look/", i), nil)
+	// Any target may be chosen, so there is no number of requests that surely reaches the silent one.
+	for sent := 0; sent < 10 || m.fleet.Lost() == 0; sent++ {
+		m.send(http.MethodGet, fmt.Sprint("/look/", sent), nil)
+		m.True(sent < 1000) // the silent target is never chosen
 	}
 	m.Equal(m.fleet.Lost(), 1)
 	time.Sleep(bfprobe.RemoveAfter + 2*time.Second)
