A target's status is no promise without its statement (REFUSED)

What callers saw: 503, 429 or 408 for a request that is not idempotent and that a target had run; after a 421, the request ran at up to two more targets.

Cause: a status that callers take for the promise "not run" was read as the target's own answer and passed on, and 421 alone as a refusal that may be sent on. Only the header by which a target states it (X-Not-Executed) proves it; faulty targets, and those of other operators, may answer without. The class: a promise of the system derived from what another party does not promise.

Fix: one place where results leave the entry (proven) replaces such an answer by a lost one, 502 without the target's body and signature, for requests that may run once only, whichever path brought it: the own target, other nodes, also of an earlier release, retries, second copies. A 421 without the statement is lost too and not sent on; the view of the target is renewed as before. Requests that may run more than once keep the target's answer.

The stand-in target states its 421, as the protocol asks.

--- a/bftrial/internal/bfsimtarget/target.go
+++ b/bftrial/internal/bfsimtarget/target.go
@@ -199,6 +199,7 @@
 	w.Header().Set(headers.RequestID, id)
 	w.Header().Set(headers.Target, t.id)
 	if r.Header.Get(headers.ExpectTarget) != t.id {
+		w.Header().Set(headers.NotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
--- a/lib/bfentry/call.go
+++ b/lib/bfentry/call.go
@@ -73,7 +73,7 @@
 	if c.handler.config.Hedging.Share > 0 {
 		c.handler.hedgeBudget.Earn(c.service, c.handler.config.Hedging)
 	}
-	result := c.callerResult(c.send(ctx))
+	result := c.proven(c.callerResult(c.send(ctx)))
 	if c.retryGranted {
 		c.handler.config.Account.Return(c.service)
 	}
--- a/lib/bfentry/handler.go
+++ b/lib/bfentry/handler.go
@@ -20,7 +20,6 @@
 	"bilberryflow.org/lib/bfhost"
 	"bilberryflow.org/lib/bflog"
 	"bilberryflow.org/lib/bfmetric"
-	"bilberryflow.org/lib/bfoutcome"
 	"bilberryflow.org/lib/bfpacer"
 	"bilberryflow.org/lib/bfprobe"
 	"bilberryflow.org/lib/bfquarantine"
@@ -214,10 +213,6 @@
 	switch result := result.(type) {
 	case bfhost.Answered:
 		defer result.Answer.Close()
-		if bfoutcome.PromisesNotRun(result.Answer.Status) {
-			h.metrics.countUnproven()
-			h.report(bflog.RefusalUnproven, c, slog.Int("status", result.Answer.Status))
-		}
 		h.reportLate(c, result.Answer)
 		h.sizes.Add(c.route.Name(), int64(len(c.request.Head)+len(result.Answer.Head)))
 		h.answers.Add(c.route.Name(), max(result.Answer.Length, int64(len(result.Answer.Head))))
--- a/lib/bfentry/refusal.go
+++ b/lib/bfentry/refusal.go
@@ -1,10 +1,13 @@
 package bfentry
 
 import (
+	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"time"
 
 	"bilberryflow.org/lib/bfhost"
+	"bilberryflow.org/lib/bflog"
 	"bilberryflow.org/lib/bfoutcome"
 	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bfroutestat"
@@ -72,6 +75,24 @@
 	return refused.RetryAfter(c.localAcceptRate(), rand.Float64())
 }
 
+// proven replaces a target's answer whose status promises that the request has not run, as the target has
+// not stated it: a result of the node's own says so only on proof. A request that may run more than once
+// keeps its answer.
+func (c *call) proven(result bfhost.Result) bfhost.Result {
+	answered, ok := result.(bfhost.Answered)
+	if !ok || !bfoutcome.PromisesNotRun(answered.Answer.Status) {
+		return result
+	}
+	status := answered.Answer.Status
+	c.handler.metrics.countUnproven()
+	c.handler.report(bflog.RefusalUnproven, c, slog.Int("status", status))
+	if c.route.Kind().Repeatable() {
+		return result
+	}
+	answered.Answer.Close()
+	return bfhost.Lost{Reason: fmt.Sprintf("answered with status %d, not stated as not run", status)}
+}
+
 // recordUnserved records a request that was not served, so that its retry is recognized.
 func (c *call) recordUnserved(result bfhost.Result) {
 	if c.parent != nil {
--- a/lib/bfhost/host.go
+++ b/lib/bfhost/host.go
@@ -318,12 +318,9 @@
 // readResponse reads the answer, or the target's statement that it did not run the request.
 func (h *Host) readResponse(ctx context.Context, from *bfexchange.Answer, to dispatch, finish func(), job Job) Result {
 	if from.Status() == http.StatusMisdirectedRequest {
-		// The address belongs to another incarnation; refuse requests until its first heartbeat.
 		from.Close()
 		finish()
-		now := h.config.Timer.Now()
-		h.change(func(tr *bflifecycle.Tracker) bool { return tr.ApplyMisdirected(to.target.Incarnation(), now) })
-		return Refused{Reason: NoTarget}
+		return h.misdirected(from.Header(), to, job)
 	}
 	if from.Header().Get(h.config.Names.NotRun) != "" {
 		status := from.Status()
@@ -346,3 +343,14 @@
 	}
 	return Answered{answer}
 }
+
+// misdirected is the result of a request that another incarnation, now at the target's address, has
+// refused; no others are sent there until its first heartbeat.
+func (h *Host) misdirected(header http.Header, to dispatch, job Job) Result {
+	now := h.config.Timer.Now()
+	h.change(func(tr *bflifecycle.Tracker) bool { return tr.ApplyMisdirected(to.target.Incarnation(), now) })
+	if header.Get(h.config.Names.NotRun) == "" && !job.Policy.Repeatable {
+		return Lost{Reason: "misdirected, not stated as not run"}
+	}
+	return Refused{Reason: NoTarget}
+}
