Refusals of targets on the own interface name their request (REFUSED)

What callers saw: "not run" for a nomination that ran, told by the own interface.

Cause: the guard took a target's 503 with Bilberry-Outcome: not-run for the request in progress, matched by nothing. A target that repeats such an answer late, on a kept connection, where the next answer is expected, had it taken for the answer to the next request, which runs. The same class as on the platform's path, without a shared ID.

Fix: an answer with the ID of another request is lost. A refusal of a request that must not run twice is believed only if it repeats the request's ID, which targets are told; without it the outcome is unknown. Idempotent requests are sent on as before. Each attempt has an ID of its own on this interface, so that no ID is sent twice over a connection.

The target of TestTargetShedsAllRequests repeats the ID now, as targets have to; its checks are the same.

--- a/bftarget/internal/bfworkload/target.go
+++ b/bftarget/internal/bfworkload/target.go
@@ -172,6 +172,7 @@
 
 func (t *Target) shed(w http.ResponseWriter, id, key, reason string) {
 	t.ledger.Record(id, key, func(run *bfledger.Run) { run.Shed++ })
+	w.Header().Set(bfheader.RequestID, id)
 	w.Header().Set(bfheader.Outcome, bfheader.OutcomeNotRun)
 	w.Header().Set(bfheader.Reason, reason)
 	w.Header().Set(bfheader.RetryAfter, "1")
--- a/lib/bfcaller/crash_test.go
+++ b/lib/bfcaller/crash_test.go
@@ -219,7 +219,8 @@
 	cluster, entry := newEntry(t, bfforward.HTTP1, 3)
 	entry.earnRetries(is, 10)
 	shedding := cluster.nodes[1].target
-	shedding.setHandler(func(rw http.ResponseWriter, _ *http.Request) {
+	shedding.setHandler(func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set(bfheader.RequestID, r.Header.Get(bfheader.RequestID))
 		rw.Header().Set(bfheader.Outcome, bfheader.OutcomeNotRun)
 		rw.WriteHeader(http.StatusServiceUnavailable)
 	})
--- a/lib/bfcaller/promise_test.go
+++ b/lib/bfcaller/promise_test.go
@@ -53,3 +53,15 @@
 		is.True(!hasRun || got.outcome != bfheader.OutcomeNotRun) // what ran is not refused
 	}
 }
+
+// Guards against promising that a request has not run by an answer that doesn't say to which request.
+func TestRefusalWithoutIDIsNoPromise(t *testing.T) {
+	is := is.New(t)
+	_, entry := newEntry(t, bfforward.HTTP1, 1)
+	entry.cluster.nodes[1].target.setHandler(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(bfheader.Outcome, bfheader.OutcomeNotRun)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	is.Equal(entry.send("POST", approve, "order").outcome, bfheader.OutcomeUnknown)
+	is.Equal(entry.send("GET", lookUp, "order").outcome, bfheader.OutcomeNotRun) // it may run more than once
+}
--- a/lib/bfguard/run.go
+++ b/lib/bfguard/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -132,7 +133,13 @@
 		return in.recordLost(err), bfadmit.Abandoned
 	}
 	defer response.Body.Close()
+	if named := response.Header.Get(bfheader.RequestID); named != "" && named != in.meta.ID.String() {
+		return in.recordLost(&AnswerIDError{Want: in.meta.ID.String(), Got: named}), bfadmit.Abandoned
+	}
 	g.latency.Observe(in.meta.Stamp.Class, g.config.Timer.Now().Sub(in.arrived))
+	if isShed(response) && !in.provesNotRun(response) {
+		return in.recordLost(&AnswerIDError{Want: in.meta.ID.String()}), bfadmit.Abandoned
+	}
 	if isShed(response) {
 		refusal := in.abort(bfhop.ReasonShed, bfheader.ReadRetryAfter(response.Header)).(refused)
 		refusal.final = response.Header.Get(bfheader.Final) != ""
@@ -147,6 +154,24 @@
 		response.Header.Get(bfheader.Outcome) == bfheader.OutcomeNotRun
 }
 
+// provesNotRun reports whether a refusal of the target is surely that of this request. One that repeats no
+// ID may be that of an earlier request on the connection, which matters if this one must not run twice.
+func (in *inboundRequest) provesNotRun(response *http.Response) bool {
+	return in.meta.Stamp.Idempotent || response.Header.Get(bfheader.RequestID) == in.meta.ID.String()
+}
+
+// AnswerIDError reports an answer of the target that doesn't repeat the request's ID.
+type AnswerIDError struct {
+	Want string
+	// Got is empty if the answer has no ID.
+	Got string
+}
+
+// Error includes both request IDs.
+func (e *AnswerIDError) Error() string {
+	return fmt.Sprintf("received an answer with request ID %q instead of %q", e.Got, e.Want)
+}
+
 // targetHeader removes the headers meant for nodes. The target receives the
 // request's ID, tenant, key and depth.
 func targetHeader(header http.Header, depth int) {
