--- a/lib/bfpipeline/connection.go
+++ b/lib/bfpipeline/connection.go
@@ -319,6 +319,21 @@
 	_, _ = io.CopyN(io.Discard, c.conn, lingerBytes)
 }
 
+// resetOnClose sets whether the connection ends with a reset, as it must in the middle of an answer that is
+// delimited by the end of its connection: the answer would look complete otherwise.
+func (c *connection) resetOnClose(reset bool) {
+	lingering, ok := c.conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return
+	}
+	seconds := -1 // the system's default
+	if reset {
+		seconds = 0
+	}
+	// An error means that the connection is broken.
+	_ = lingering.SetLinger(seconds)
+}
+
 // limitedReader bounds the bytes read for one header.
 type limitedReader struct {
 	from      io.Reader
--- a/lib/bfpipeline/exchange.go
+++ b/lib/bfpipeline/exchange.go
@@ -258,6 +258,7 @@
 		e.chunked = httputil.NewChunkedWriter(e.connection.writer)
 	default:
 		e.remaining, e.closes = -1, true
+		e.connection.resetOnClose(true)
 	}
 }
 
@@ -307,6 +308,9 @@
 	if e.writeErr == nil && e.remaining <= 0 {
 		e.writeErr = e.connection.writer.Flush()
 	}
+	if e.writeErr == nil && e.remaining < 0 {
+		e.connection.resetOnClose(false)
+	}
 	if e.writeErr != nil || e.remaining > 0 {
 		e.abort()
 	}
