--- a/lib/bfcaller/wire_test.go
+++ b/lib/bfcaller/wire_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -249,3 +250,30 @@
 	is.Equal(entry.send("GET", lookUp, "q1").outcome, bfheader.OutcomeDone)
 	is.Equal(cluster.nodes[1].inbound.connCount(), 1)
 }
+
+// Guards against a success for an answer whose head the target cut off.
+func TestCutHeadOfATargetIsNotPassedOn(t *testing.T) {
+	for _, protocol := range []bfforward.Protocol{bfforward.HTTP1, bfforward.HTTP2} {
+		for _, framing := range []string{"Content-Length: 5\r\n", "Connection: close\r\n", "Transfer-Encoding: chunked\r\n"} {
+			t.Run(fmt.Sprintf("%s %.10s", protocol, framing), func(t *testing.T) {
+				is := is.New(t)
+				cluster, entry := newEntry(t, protocol, 1)
+				head := "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n" + framing + "\r\n"
+				var cut atomic.Int32
+				cluster.nodes[1].target.setHandler(func(w http.ResponseWriter, _ *http.Request) {
+					c, _, err := w.(http.Hijacker).Hijack()
+					if err != nil {
+						panic(err)
+					}
+					defer c.Close()
+					_, _ = io.WriteString(c, head[:cut.Load()])
+				})
+				for length := range head {
+					cut.Store(int32(length))
+					got := entry.send("POST", approve, fmt.Sprint("order-", length))
+					is.True(got.outcome != bfheader.OutcomeDone)
+				}
+			})
+		}
+	}
+}
