--- a/bftrial/internal/bfsimtarget/target.go
+++ b/bftrial/internal/bfsimtarget/target.go
@@ -68,6 +68,8 @@
 	// lostPercent is the percentage of responses dropped after the run, duplicatedPercent that of
 	// responses sent twice, failedPercent that of runs that end with an error.
 	lostPercent, duplicatedPercent, failedPercent atomic.Int32
+	// refusedPercent is the percentage of requests refused by answers that are repeated.
+	refusedPercent atomic.Int32
 	// endlessPercent is the percentage of responses without an end.
 	endlessPercent atomic.Int32
 	// leaving has the answers say that the target leaves, nests has a part of the runs make a nested
@@ -195,6 +197,15 @@
 		t.serveHealth(w)
 		return
 	}
+	if t.refuses() {
+		t.refuseRepeatedly(w, r.Header.Get(headers.RequestID))
+		return
+	}
+	t.serve(w, r)
+}
+
+// serve runs one request, unless it is misdirected or beyond the slots.
+func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(headers.RequestID)
 	w.Header().Set(headers.RequestID, id)
 	w.Header().Set(headers.Target, t.id)
@@ -241,6 +252,8 @@
 		t.respondTwice(w, id, body)
 	case draw < t.lostPercent.Load()+t.duplicatedPercent.Load()+t.endlessPercent.Load():
 		t.respondEndlessly(w, id)
+	case t.answersUnproven():
+		w.WriteHeader(http.StatusServiceUnavailable)
 	case rand.Int32N(100) < t.failedPercent.Load():
 		w.Header().Set(SignatureHeader, Signature(id))
 		w.WriteHeader(http.StatusInternalServerError)
--- a/bftrial/internal/bfsoak/faults.go
+++ b/bftrial/internal/bfsoak/faults.go
@@ -77,6 +77,7 @@
 	{limitedTargets, (*harness).limitTargets},
 	{leavesInAnswers, (*harness).leaveInTurn},
 	{endlessTargets, (*harness).sendEndlessly},
+	{faultyRefusals, (*harness).refuseFaultily},
 	{lateHeartbeats, departInTurn(
 		departure{late: 1, restart: (*harness).killNode}, departure{late: 1, announced: true, restart: (*harness).stopNode},
 		departure{late: 1, restart: (*harness).stopNode}, departure{late: 1, announced: true, restart: (*harness).killNode},
@@ -346,6 +347,22 @@
 	}
 }
 
+// faultyRefusals is the name of the scenario in which targets repeat refusals and refuse what ran.
+const faultyRefusals = "targets refuse faultily"
+
+// refuseFaultily has all targets repeat refusals before the next answer, and refuse a part of what they ran.
+func (h *harness) refuseFaultily(_ *nodeSlot, length time.Duration) {
+	for _, n := range h.allNodes() {
+		n.withTargetFault(func(t *bfsimtarget.Target) { t.RefuseFaultily(faultyRefusalPercent) })
+	}
+	time.Sleep(length)
+	for _, n := range h.allNodes() {
+		n.withTargetFault(func(t *bfsimtarget.Target) { t.RefuseFaultily(0) })
+	}
+}
+
+const faultyRefusalPercent = 15
+
 // replaceTarget drains a target and starts a new incarnation at the same node.
 func (h *harness) replaceTarget(n *nodeSlot, length time.Duration) {
 	n.targetMu.Lock()
--- a/bftrial/internal/bfsoak/soak_test.go
+++ b/bftrial/internal/bfsoak/soak_test.go
@@ -90,6 +90,11 @@
 	soak(t, Options{Binaries: build(t), Seed: 1, Nodes: 5, Callers: 12, Faults: 5 * time.Second, Only: endlessTargets})
 }
 
+// Guards against refusing requests that ran, as their targets repeat refusals or refuse what they ran.
+func TestFaultyRefusals(t *testing.T) {
+	soak(t, Options{Binaries: build(t), Seed: 1, Nodes: 5, Callers: 24, Faults: 5 * time.Second, Only: faultyRefusals})
+}
+
 // Guards against a node that forgets in a restart that its target has departed, and takes a heartbeat from
 // before the departure for a sign of life.
 func TestLateHeartbeatAfterARestartDoesNotRevive(t *testing.T) {
