--- a/lib/bfforward/conn.go
+++ b/lib/bfforward/conn.go
@@ -51,6 +51,16 @@
 type conn struct {
 	net.Conn
 	permit atomic.Pointer[writePermit]
+	// id is the ID of the request that it carries, or carried last.
+	id atomic.Pointer[string]
+}
+
+// begin starts a request and returns the ID of the one before it, "" for none.
+func (c *conn) begin(id string) (earlier string) {
+	if last := c.id.Swap(&id); last != nil {
+		return *last
+	}
+	return ""
 }
 
 // Write writes bytes of the current request if its permit allows it.
--- a/lib/bfforward/forward.go
+++ b/lib/bfforward/forward.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+
+	"bilberryflow.org/lib/bfheader"
 )
 
 // Request is a request as it is forwarded.
@@ -45,6 +47,14 @@
 // Unwrap is the reason.
 func (e *LostError) Unwrap() error { return e.Reason }
 
+// LateAnswerError reports an answer to the request that the connection carried before.
+type LateAnswerError struct{ ID string }
+
+// Error includes the ID of that request.
+func (e *LateAnswerError) Error() string {
+	return fmt.Sprintf("received the answer to the earlier request %q", e.ID)
+}
+
 // Send sends the request to the peer at address without retries; its errors are
 // NotSentError and LostError.
 //
@@ -52,9 +62,11 @@
 // ownership of the header.
 func (c *Client) Send(ctx context.Context, address string, r Request, sending func()) (*http.Response, error) {
 	permit := &writePermit{onFirstWrite: sending}
+	id, earlier := r.Header.Get(bfheader.RequestID), ""
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if dedicated, exclusive := info.Conn.(*conn); exclusive {
 			dedicated.permit.Store(permit)
+			earlier = dedicated.begin(id)
 			return
 		}
 		// Writes on a shared connection can't be attributed to a request.
@@ -62,6 +74,9 @@
 	}}
 	response, err := c.peer(address).RoundTrip(newRequest(httptrace.WithClientTrace(ctx, trace), address, r))
 	switch {
+	case err == nil && earlier != "" && earlier != id && response.Header.Get(bfheader.RequestID) == earlier:
+		response.Body.Close()
+		return nil, &LostError{Address: address, Reason: &LateAnswerError{ID: earlier}}
 	case err == nil:
 		return response, nil
 	case permit.revoke():
--- a/lib/bfforward/forward_test.go
+++ b/lib/bfforward/forward_test.go
@@ -140,3 +140,39 @@
 		is.True(reused)
 	})
 }
+
+// Guards against taking a late answer to a request for the answer to the next one on its connection.
+func TestLateAnswerIsNotThatOfTheNextRequest(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, buffered, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer c.Close()
+		late := ""
+		for ; err == nil; r, err = http.ReadRequest(buffered.Reader) {
+			own := "HTTP/1.1 200 OK\r\n" + bfheader.RequestID + ": " + r.Header.Get(bfheader.RequestID) + "\r\nContent-Length: 0\r\n\r\n"
+			_, _ = io.WriteString(c, late+own)
+			late = own
+		}
+	}))
+	defer server.Close()
+	client := New(DefaultOptions())
+	defer client.Sweep(time.Now().Add(time.Hour), 0)
+	send := func(id string) error {
+		response, err := client.Send(context.Background(), server.Listener.Addr().String(), Request{
+			Method: http.MethodGet, Target: "/", Header: http.Header{bfheader.RequestID: {id}},
+		}, nil)
+		if err == nil {
+			response.Body.Close()
+		}
+		return err
+	}
+	is.NoErr(send("1"))
+	err := send("2")
+	var lost *LostError
+	var late *LateAnswerError
+	is.True(errors.As(err, &lost) && errors.As(err, &late))
+	is.Equal(late.ID, "1")
+}
--- a/lib/bfguard/run.go
+++ b/lib/bfguard/run.go
@@ -133,12 +133,9 @@
 		return in.recordLost(err), bfadmit.Abandoned
 	}
 	defer response.Body.Close()
-	if named := response.Header.Get(bfheader.RequestID); named != "" && named != in.meta.ID.String() {
-		return in.recordLost(&AnswerIDError{Want: in.meta.ID.String(), Got: named}), bfadmit.Abandoned
-	}
 	g.latency.Observe(in.meta.Stamp.Class, g.config.Timer.Now().Sub(in.arrived))
 	if isShed(response) && !in.provesNotRun(response) {
-		return in.recordLost(&AnswerIDError{Want: in.meta.ID.String()}), bfadmit.Abandoned
+		return in.recordLost(&AnswerIDError{Want: in.meta.ID.String(), Got: response.Header.Get(bfheader.RequestID)}), bfadmit.Abandoned
 	}
 	if isShed(response) {
 		refusal := in.abort(bfhop.ReasonShed, bfheader.ReadRetryAfter(response.Header)).(refused)
@@ -160,16 +157,16 @@
 	return in.meta.Stamp.Idempotent || response.Header.Get(bfheader.RequestID) == in.meta.ID.String()
 }
 
-// AnswerIDError reports an answer of the target that doesn't repeat the request's ID.
+// AnswerIDError reports a refusal of the target that doesn't repeat the request's ID.
 type AnswerIDError struct {
 	Want string
-	// Got is empty if the answer has no ID.
+	// Got is empty if the refusal has no ID.
 	Got string
 }
 
 // Error includes both request IDs.
 func (e *AnswerIDError) Error() string {
-	return fmt.Sprintf("received an answer with request ID %q instead of %q", e.Got, e.Want)
+	return fmt.Sprintf("received a refusal with request ID %q instead of %q", e.Got, e.Want)
 }
 
 // targetHeader removes the headers meant for nodes. The target receives the
