--- a/lib/bfentry/refusal.go
+++ b/lib/bfentry/refusal.go
@@ -1,7 +1,6 @@
 package bfentry
 
 import (
-	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"time"
@@ -75,22 +74,14 @@
 	return refused.RetryAfter(c.localAcceptRate(), rand.Float64())
 }
 
-// proven replaces a target's answer whose status promises that the request has not run, as the target has
-// not stated it: a result of the node's own says so only on proof. A request that may run more than once
-// keeps its answer.
+// proven replaces a target's refusal that is no promise, and reports it.
 func (c *call) proven(result bfhost.Result) bfhost.Result {
-	answered, ok := result.(bfhost.Answered)
-	if !ok || !bfoutcome.PromisesNotRun(answered.Answer.Status) {
-		return result
+	proven, status := bfoutcome.Proven(result, c.route.Kind().Repeatable())
+	if status != 0 {
+		c.handler.metrics.countUnproven()
+		c.handler.report(bflog.RefusalUnproven, c, slog.Int("status", status))
 	}
-	status := answered.Answer.Status
-	c.handler.metrics.countUnproven()
-	c.handler.report(bflog.RefusalUnproven, c, slog.Int("status", status))
-	if c.route.Kind().Repeatable() {
-		return result
-	}
-	answered.Answer.Close()
-	return bfhost.Lost{Reason: fmt.Sprintf("answered with status %d, not stated as not run", status)}
+	return proven
 }
 
 // recordUnserved records a request that was not served, so that its retry is recognized.
--- a/lib/bfoutcome/outcome.go
+++ b/lib/bfoutcome/outcome.go
@@ -1,6 +1,7 @@
 package bfoutcome
 
 import (
+	"fmt"
 	"net/http"
 
 	"bilberryflow.org/lib/bfhost"
@@ -24,9 +25,25 @@
 	return result.Answer.Status >= http.StatusInternalServerError
 }
 
-// PromisesNotRun reports whether callers take an answer with a status for the promise that the request
+// Proven returns the result that callers may be told. A target's answer whose status promises that the request
+// has not run, which the target has not stated, becomes a lost one, unless the request may run more than once.
+// Status is that of such an answer, 0 for other results.
+func Proven(result bfhost.Result, repeatable bool) (proven bfhost.Result, status int) {
+	answered, ok := result.(bfhost.Answered)
+	if !ok || !promisesNotRun(answered.Answer.Status) {
+		return result, 0
+	}
+	status = answered.Answer.Status
+	if repeatable {
+		return result, status
+	}
+	answered.Answer.Close()
+	return bfhost.Lost{Reason: fmt.Sprintf("answered with status %d, not stated as not run", status)}, status
+}
+
+// promisesNotRun reports whether callers take an answer with a status for the promise that the request
 // has not run and never will.
-func PromisesNotRun(status int) bool {
+func promisesNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return true
