Soak: faults of responses share one function; faulty refusals in turn

The scenario of faulty refusals goes over the targets in turn, as that of endless responses does, with 40 % of the requests.

--- a/bftrial/internal/bfsoak/faults.go
+++ b/bftrial/internal/bfsoak/faults.go
@@ -42,8 +42,8 @@
 	{"target silent", targetFault(bfproxy.Silent)},
 	{"target reset", (*harness).resetTarget},
 	{"target slow", (*harness).slowTarget},
-	{"target loses answers", (*harness).loseResponses},
-	{"target answers twice", (*harness).duplicateResponses},
+	{"target loses answers", loseResponses},
+	{"target answers twice", responseFault((*bfsimtarget.Target).DuplicateResponses)},
 	{"target replaced", (*harness).replaceTarget},
 	{"target replaced", (*harness).replaceTarget},
 	{"change", (*harness).changeVersion},
@@ -76,8 +76,8 @@
 	{readersSilenced, (*harness).silenceReaders},
 	{limitedTargets, (*harness).limitTargets},
 	{leavesInAnswers, (*harness).leaveInTurn},
-	{endlessTargets, (*harness).sendEndlessly},
-	{faultyRefusals, (*harness).refuseFaultily},
+	{endlessTargets, inTurn((*bfsimtarget.Target).SendEndlessly)},
+	{faultyRefusals, inTurn((*bfsimtarget.Target).RefuseFaultily)},
 	{lateHeartbeats, departInTurn(
 		departure{late: 1, restart: (*harness).killNode}, departure{late: 1, announced: true, restart: (*harness).stopNode},
 		departure{late: 1, restart: (*harness).stopNode}, departure{late: 1, announced: true, restart: (*harness).killNode},
@@ -316,53 +316,36 @@
 	})
 }
 
-func (h *harness) loseResponses(n *nodeSlot, length time.Duration) {
-	n.withTargetFault(func(t *bfsimtarget.Target) {
-		t.LoseResponses(40)
-		time.Sleep(length)
-		t.LoseResponses(0)
-	})
+// responseFault returns the fault of a target that handles a part of its responses as set says.
+func responseFault(set func(t *bfsimtarget.Target, percent int32)) func(*harness, *nodeSlot, time.Duration) {
+	return func(_ *harness, n *nodeSlot, length time.Duration) {
+		n.withTargetFault(func(t *bfsimtarget.Target) {
+			set(t, 40)
+			time.Sleep(length)
+			set(t, 0)
+		})
+	}
 }
 
-func (h *harness) duplicateResponses(n *nodeSlot, length time.Duration) {
-	n.withTargetFault(func(t *bfsimtarget.Target) {
-		t.DuplicateResponses(40)
-		time.Sleep(length)
-		t.DuplicateResponses(0)
-	})
-}
+var loseResponses = responseFault((*bfsimtarget.Target).LoseResponses)
 
 // endlessTargets is the name of the scenario in which targets send responses without an end.
 const endlessTargets = "targets send without end"
 
-// sendEndlessly has the target of one node after the other send a part of its responses without an end.
-func (h *harness) sendEndlessly(_ *nodeSlot, length time.Duration) {
-	const turn = 500 * time.Millisecond
-	for began, at := time.Now(), 0; time.Since(began) < length; at++ {
-		h.allNodes()[at%len(h.allNodes())].withTargetFault(func(t *bfsimtarget.Target) {
-			t.SendEndlessly(40)
-			time.Sleep(turn)
-			t.SendEndlessly(0)
-		})
-	}
-}
-
 // faultyRefusals is the name of the scenario in which targets repeat refusals and refuse what ran.
 const faultyRefusals = "targets refuse faultily"
 
-// refuseFaultily has all targets repeat refusals before the next answer, and refuse a part of what they ran.
-func (h *harness) refuseFaultily(_ *nodeSlot, length time.Duration) {
-	for _, n := range h.allNodes() {
-		n.withTargetFault(func(t *bfsimtarget.Target) { t.RefuseFaultily(faultyRefusalPercent) })
-	}
-	time.Sleep(length)
-	for _, n := range h.allNodes() {
-		n.withTargetFault(func(t *bfsimtarget.Target) { t.RefuseFaultily(0) })
+// inTurn returns the scenario in which the target of one node after the other handles a part of its
+// responses as set says.
+func inTurn(set func(t *bfsimtarget.Target, percent int32)) func(*harness, *nodeSlot, time.Duration) {
+	const turn = 500 * time.Millisecond
+	return func(h *harness, _ *nodeSlot, length time.Duration) {
+		for began, at := time.Now(), 0; time.Since(began) < length; at++ {
+			responseFault(set)(h, h.allNodes()[at%len(h.allNodes())], turn)
+		}
 	}
 }
 
-const faultyRefusalPercent = 15
-
 // replaceTarget drains a target and starts a new incarnation at the same node.
 func (h *harness) replaceTarget(n *nodeSlot, length time.Duration) {
 	n.targetMu.Lock()
--- a/bftrial/internal/bfsoak/limit.go
+++ b/bftrial/internal/bfsoak/limit.go
@@ -64,7 +64,7 @@
 	second.target.Limits().Set(8.5)
 	stopBurst := h.startBurst()
 	h.group.Go("lose answers", func(context.Context) error {
-		h.loseResponses(faulty, length/3)
+		loseResponses(h, faulty, length/3)
 		return nil
 	})
 	time.Sleep(length / 6)
