--- a/review/standin/deploy.go
+++ b/review/standin/deploy.go
@@ -28,7 +28,7 @@
 )
 
 // maxMachines is the number of machines of the largest deployment.
-const maxMachines = 6
+const maxMachines = 8
 
 // deployment is a small deployment: the store, and nodes with a server each.
 type deployment struct {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,6 +17,7 @@
 
 // cases are the scripts by name. Each returns whether the rule was broken.
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, err error){
+	"behind": behind,
 	"reborn": reborn,
 }
 
--- a/review/standin/reborn.go
+++ b/review/standin/reborn.go
@@ -8,14 +8,17 @@
 	"time"
 )
 
-// Figures of reborn. The clock steps by the amount of the site's clock_step, and drainTime is the site's drain_s.
+// Figures of reborn. clockStep is the usual amount of clock_step, drainTime the site's drain_s.
 const (
-	clockStep   = 2400 * time.Millisecond
+	clockStep   = 2000 * time.Millisecond
 	rebornAfter = 1500 * time.Millisecond
 	downTime    = 500 * time.Millisecond
 	drainTime   = 2 * time.Second
 	serveLonger = 3 * time.Second
 	runTime     = 150 * time.Millisecond
+	// otherServers are those of the service that stay: one of seven crashes (srv_crash: share 0.15).
+	otherServers  = 6
+	rebornClients = 8
 )
 
 // reborn has a server crash and start again under the id that it had, after the time of day of its machine
@@ -29,9 +32,13 @@
 	if err != nil {
 		return false, err
 	}
-	otherNode, err := d.addNode("desk-2", "b", "desk", nil)
-	if err != nil {
-		return false, err
+	var others []*server
+	for i := range otherServers {
+		n, err := d.addNode(fmt.Sprintf("desk-%d", i+2), string(rune('b'+i%3)), "desk", nil)
+		if err != nil {
+			return false, err
+		}
+		others = append(others, d.newServer(n, fmt.Sprintf("i-desk-%d", i+2), 8))
 	}
 	routes := []route{
 		{Name: "check", Host: "desk.example", Prefix: "/check/", RouteType: idempotent, Timeout: 2, TargetLatency: 0.5, Priority: 1, Service: "desk", MaxAttempts: 2},
@@ -40,8 +47,7 @@
 	if err := d.configure(7, routes, "front", "desk"); err != nil {
 		return false, err
 	}
-	frontServer, other := d.newServer(front, "i-front", 8), d.newServer(otherNode, "i-other", 8)
-	for _, s := range []*server{frontServer, other} {
+	for _, s := range append(others, d.newServer(front, "i-front", 8)) {
 		s.born = time.Now().UnixMilli()
 		if err := s.begin(); err != nil {
 			return false, err
@@ -107,7 +113,7 @@
 			mu.Unlock()
 		}
 	}
-	for client := range 4 {
+	for client := range rebornClients {
 		clients.Add(1)
 		go traffic(client)
 	}
