--- a/review/standin/behind.go
+++ b/review/standin/behind.go
@@ -79,13 +79,11 @@
 	var counts pipelineCounts
 	end := time.Now().Add(behindTime)
 	for client := range behindClients {
-		clients.Add(1)
-		go func() {
-			defer clients.Done()
+		clients.Go(func() {
 			for connection := 0; time.Now().Before(end); connection++ {
 				sendPipelines(d.rec, front, fmt.Sprintf("c%d-%d", client, connection), end, &counts, &soundRuns)
 			}
-		}()
+		})
 	}
 	time.Sleep(faultyAfter)
 	if trouble {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,8 +6,12 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"sync"
 )
 
+// background holds the goroutines that live until the process ends; nobody waits for them.
+var background sync.WaitGroup
+
 // Exit codes of a script.
 const (
 	held   = 0
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -101,10 +101,11 @@
 		return err
 	}
 	n.exited = make(chan struct{})
-	go func(cmd *exec.Cmd, exited chan struct{}) {
+	cmd, exited := n.cmd, n.exited
+	background.Go(func() {
 		_ = cmd.Wait()
 		close(exited)
-	}(n.cmd, n.exited)
+	})
 	n.values["mesh"].(map[string]any)["firstStart"] = false
 	return nil
 }
--- a/review/standin/reborn.go
+++ b/review/standin/reborn.go
@@ -97,7 +97,6 @@
 	var mu sync.Mutex
 	unanswered := map[string]answer{}
 	traffic := func(client int) {
-		defer clients.Done()
 		for i := 0; ; i++ {
 			select {
 			case <-stop:
@@ -114,8 +113,7 @@
 		}
 	}
 	for client := range rebornClients {
-		clients.Add(1)
-		go traffic(client)
+		clients.Go(func() { traffic(client) })
 	}
 	time.Sleep(8 * time.Second)
 	before := len(second.ran)
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -49,8 +49,9 @@
 	if s.ran == nil {
 		s.ran = map[string]int{}
 	}
-	go s.accept(listener)
-	go s.beat(s.stopped)
+	stopped := s.stopped
+	background.Go(func() { s.accept(listener) })
+	background.Go(func() { s.beat(stopped) })
 	return nil
 }
 
@@ -63,7 +64,7 @@
 		s.mu.Lock()
 		s.conns[c] = true
 		s.mu.Unlock()
-		go s.serve(c)
+		background.Go(func() { s.serve(c) })
 	}
 }
 
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -50,7 +50,7 @@
 	mux.HandleFunc("GET /v1/rows-parts", func(w http.ResponseWriter, _ *http.Request) {
 		reply(w, http.StatusOK, map[string]any{"parts": []string{""}, "has_more": false})
 	})
-	go func() { _ = http.Serve(listener, mux) }()
+	background.Go(func() { _ = http.Serve(listener, mux) })
 	return s, nil
 }
 
