--- a/bfnode/internal/bfcommand/settings.go
+++ b/bfnode/internal/bfcommand/settings.go
@@ -8,6 +8,7 @@
 	"bilberryflow.org/bfnode/internal/bfmesh"
 	"bilberryflow.org/lib/bfcontrol"
 	"bilberryflow.org/lib/bfoperator"
+	"bilberryflow.org/lib/bfresource"
 	"bilberryflow.org/lib/bfsettings"
 )
 
@@ -27,6 +28,8 @@
 	Key           string               `json:"key,omitempty" jsonschema:"description=File of the certificate's key."`
 	SnapshotEvery int                  `json:"snapshotEvery,omitempty" jsonschema:"minimum=1,maximum=1000000,description=Versions between two snapshots in the object store."`
 	StopTimeout   bfsettings.Duration  `json:"stopTimeout,omitempty" jsonschema:"description=Bound of a graceful stop."`
+	Machine       bfresource.Machine   `json:"machine,omitempty" jsonschema:"description=What the machine offers the process."`
+	Clients       bfresource.Clients   `json:"clients,omitempty" jsonschema:"description=Limits of what the process holds for clients."`
 	Mesh          *bfmesh.MeshSettings `json:"mesh,omitempty" jsonschema:"description=Set where the platform keeps the configuration in its own form; operators then change it there and not by bfctl."`
 }
 
@@ -80,6 +83,8 @@
 	s.Platform.Address = "http://127.0.0.1:7900"
 	s.Seeds = []string{"127.0.0.1:7813"}
 	s.Operators = []bfoperator.Token{{Name: "anna", Secret: "change-this-secret"}}
+	s.Machine = bfresource.Machine{MemoryMB: 284, Descriptors: 4100}
+	s.Clients = bfresource.Clients{MemoryShare: 0.4, ConnectionShare: 0.5, BodyRate: 16384, BodyPause: bfsettings.Duration(500 * time.Millisecond)}
 	mesh := bfmesh.Example()
 	s.Mesh = &mesh
 	return s
