Failing tests of crowds of clients that don't behave

Callers: in a trial such clients ended a node, which ran out of memory. Each test starts an entry and two nodes with targets as processes on a machine of 142 MB and 1,025 descriptors (half and a quarter of the smallest machine that is deployed), opens a crowd of which each connection sends a legal request and stops just short of its end, and checks that all processes live, stay within the machine, and answer one ordinary request beside the crowd and after it.

The tests run one at a time after all others, by a step of its own in make test.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,8 @@
 BIN := $(CURDIR)/bin
 # Pattern of the tests that KNOWN-RED.txt lists, one at the beginning of each entry's line; it may be a subtest.
 RED := $(shell sed -n 's/^\(Test[A-Za-z0-9_/]*\).*/^\1$$/p' KNOWN-RED.txt 2>/dev/null | sed 's,/,$$/^,g' | paste -sd'|' -)
+# Pattern of the tests that load the machine and run one at a time, after all others.
+CROWDS := ^TestCrowd
 PROGRAMS := bfnode bfctl bfplatform bftarget bftrial
 
 .PHONY: build test lint format demo spec measure docs tools
@@ -14,7 +16,8 @@
 
 test: build
 	go vet work
-	go test -count=1 $(if $(RED),-skip '$(RED)') work
+	go test -count=1 -skip '$(if $(RED),$(RED)|)$(CROWDS)' work
+	cd bftrial && go test -count=1 -p 1 -timeout 20m -run '$(CROWDS)' $(if $(RED),-skip '$(RED)') ./internal/bfcrowd
 
 tools: $(TOOLS)/golangci-lint $(TOOLS)/gopls
 
--- a/bftrial/internal/bffleet/fleet.go
+++ b/bftrial/internal/bffleet/fleet.go
@@ -129,6 +129,8 @@
 	Operators     []map[string]any  `json:"operators"`
 	SnapshotEvery int               `json:"snapshotEvery,omitempty"`
 	StopTimeout   string            `json:"stopTimeout,omitempty"`
+	// Machine is what the node may use of its machine; nil means what the system reports.
+	Machine map[string]any `json:"machine,omitempty"`
 }
 
 // NodePorts holds a node's listen addresses.
--- a/bftrial/internal/bffleet/mesh.go
+++ b/bftrial/internal/bffleet/mesh.go
@@ -21,6 +21,8 @@
 	Listen        NodePorts         `json:"listen"`
 	Platform      map[string]string `json:"platform"`
 	Mesh          map[string]any    `json:"mesh"`
+	// Machine is what the node may use of its machine; nil means what the system reports.
+	Machine map[string]any `json:"machine,omitempty"`
 }
 
 // MeshNode is one bfnode whose configuration is stored on the platform.
@@ -83,6 +85,9 @@
 	return nil
 }
 
+// FreeAddress returns a loopback address that no other part of the fleet uses.
+func (f *Fleet) FreeAddress() string { return f.ports.next() }
+
 // StoreAddress returns the listen address of the stand-in platform's store.
 func (f *Fleet) StoreAddress() string { return f.platformAddress }
 
