--- a/lib/bfexchange/head.go
+++ b/lib/bfexchange/head.go
@@ -100,6 +100,9 @@
 	if !timeout.Stop() {
 		return nil, &HeadError{Limit: headTimeout.String()}
 	}
+	if err == nil {
+		err = bfheader.CheckStatus(response)
+	}
 	return response, err
 }
 
--- a/lib/bfforward/forward.go
+++ b/lib/bfforward/forward.go
@@ -73,6 +73,9 @@
 		permit.acquire(nil)
 	}}
 	response, err := c.peer(address).RoundTrip(newRequest(httptrace.WithClientTrace(ctx, trace), address, r))
+	if err == nil {
+		err = check(response)
+	}
 	switch {
 	case err == nil && earlier != "" && earlier != id && response.Header.Get(bfheader.RequestID) == earlier:
 		response.Body.Close()
@@ -86,6 +89,15 @@
 	}
 }
 
+// check closes a response that is none and returns why.
+func check(response *http.Response) error {
+	err := bfheader.CheckStatus(response)
+	if err != nil {
+		response.Body.Close()
+	}
+	return err
+}
+
 // newRequest builds the request without http.NewRequest, which would parse the
 // target and drop what it takes for a fragment.
 func newRequest(ctx context.Context, address string, r Request) *http.Request {
