A field whose name is none makes an answer invalid (MIXED)

What callers saw: answers with a line such as "X Odd: 1", "Content-Length : 5" or "Transfer-Encoding : chunked" beside another length were passed on as a 200, with the line, or with a body that another reader frames differently. Cause: net/http keeps fields whose names hold blanks, and nothing checked what it had parsed; only names with control bytes failed. Now bfheader.CheckResponse checks the names and values of all fields, for bfexchange (targets, other nodes; final and informational answers, and trailers, which end the answer with an error) and bfforward (the own interface). The request was sent and has no answer. The store's clients (bfdialect, bftable) pass no head on and decode JSON within the framing of net/http: unchanged. TestInvalidFieldNameIsNoAnswer (5 of 10 lines) and TestInvalidFieldNameIsLost failed before; TestSoundAnswers keeps sound heads.

--- a/lib/bfexchange/answer.go
+++ b/lib/bfexchange/answer.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"bilberryflow.org/lib/bfheader"
 )
 
 // maxMismatched bounds the answers with another request's ID that are discarded.
@@ -51,11 +53,23 @@
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.response.Body.Read(p)
 	if errors.Is(err, io.EOF) {
-		a.ended = true
+		if err := a.end(); err != nil {
+			return n, err
+		}
 	}
 	return n, err
 }
 
+// end checks what follows the body.
+func (a *Answer) end() error {
+	// The trailer is read with the end of the body.
+	if err := bfheader.CheckFields(a.response.Trailer); err != nil {
+		return err
+	}
+	a.ended = true
+	return nil
+}
+
 // Close releases the connection for reuse, or closes it if the answer was not read to its end.
 func (a *Answer) Close() {
 	if a.conn == nil {
--- a/lib/bfexchange/head.go
+++ b/lib/bfexchange/head.go
@@ -101,7 +101,7 @@
 		return nil, &HeadError{Limit: headTimeout.String()}
 	}
 	if err == nil {
-		err = bfheader.CheckStatus(response)
+		err = bfheader.CheckResponse(response)
 	}
 	return response, err
 }
--- a/lib/bfexchange/invalid_test.go
+++ b/lib/bfexchange/invalid_test.go
@@ -37,6 +37,25 @@
 	}
 }
 
+// Guards against an answer in whose head the name of a field is none (MIXED): its line was passed on, or hid
+// the framing that the server meant.
+func TestInvalidFieldNameIsNoAnswer(t *testing.T) {
+	for _, line := range []string{
+		"X Odd: 1", "X-Odd : 1", "Content-Length : 5", "Content-Length : 2", "Transfer-Encoding : chunked", "X-\x01: 1", "X-\x0b: 1", "X(Odd): 1", "X-Odd\t: 1", ": 1",
+	} {
+		t.Run(line, func(t *testing.T) {
+			is := is.New(t)
+			_, err := exchange(t, client(), sendsOnce(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n"+soundEnd), "1")
+			is.True(err != nil)
+			_, err = exchange(t, client(), sendsOnce(t, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\n"+soundEnd), "1")
+			is.True(err != nil) // in an informational answer
+			_, err = exchange(t, client(), sendsOnce(t,
+				"HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n"+line+"\r\n\r\n"), "1")
+			is.True(err != nil) // in the trailer
+		})
+	}
+}
+
 // Guards against a check of answers that refuses sound ones.
 func TestSoundAnswers(t *testing.T) {
 	for _, head := range []string{
--- a/lib/bfforward/forward.go
+++ b/lib/bfforward/forward.go
@@ -91,7 +91,7 @@
 
 // check closes a response that is none and returns why.
 func check(response *http.Response) error {
-	err := bfheader.CheckStatus(response)
+	err := bfheader.CheckResponse(response)
 	if err != nil {
 		response.Body.Close()
 	}
--- a/lib/bfforward/invalid_test.go
+++ b/lib/bfforward/invalid_test.go
@@ -73,3 +73,12 @@
 		is.True(errors.As(sendRaw(t, "HTTP/1.1 "+status+" Odd\r\n"+soundEnd), &lost))
 	}
 }
+
+// Guards against a response in whose head the name of a field is none (MIXED).
+func TestInvalidFieldNameIsLost(t *testing.T) {
+	is := is.New(t)
+	for _, line := range []string{"X Odd: 1", "Content-Length : 2", "Transfer-Encoding : chunked", "X-\x01: 1"} {
+		var lost *LostError
+		is.True(errors.As(sendRaw(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n"+soundEnd), &lost))
+	}
+}
--- a/lib/bfheader/response.go
+++ b/lib/bfheader/response.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // InvalidResponseError reports a response that is none by the protocol, although its head can be parsed.
 type InvalidResponseError struct {
-	// Part is what is invalid.
+	// Part is what is invalid: the status, or the name or the value of a field.
 	Part string
 	// Text is the invalid text.
 	Text string
@@ -24,6 +26,14 @@
 	maxStatus = 999
 )
 
+// CheckResponse returns an *InvalidResponseError for a response whose head is invalid.
+func CheckResponse(response *http.Response) error {
+	if err := CheckStatus(response); err != nil {
+		return err
+	}
+	return CheckFields(response.Header)
+}
+
 // CheckStatus returns an *InvalidResponseError for a response whose status is none. Switching protocols is none,
 // as nodes don't ask for it.
 func CheckStatus(response *http.Response) error {
@@ -33,3 +43,19 @@
 	}
 	return nil
 }
+
+// CheckFields returns an *InvalidResponseError for fields of a response of which a name or a value is invalid.
+// net/http accepts names with blanks: a line that another reader takes for the length would be passed on.
+func CheckFields(h http.Header) error {
+	for name, values := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &InvalidResponseError{Part: "field name", Text: name}
+		}
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return &InvalidResponseError{Part: "value of field " + name, Text: value}
+			}
+		}
+	}
+	return nil
+}
