A reset during an upload doesn't complete an answer without a length (MIXED)

Cause: the system reports a reset once. The goroutine that writes the upload gets ECONNRESET, and the read of the answer then gets the end of the stream, which ends an answer without a length. Now such an answer is complete only if the whole request was written: its end waits for the writer, until the deadline, and takes over its error. Answers with a length or chunks show their end themselves. The same cause in bfforward, where net/http writes the request: WroteRequest tells how the write ended.

--- a/lib/bfexchange/answer.go
+++ b/lib/bfexchange/answer.go
@@ -38,8 +38,21 @@
 	response   *http.Response
 	stopCancel func() bool
 	upload     *upload
+	// ctx is that of the send.
+	ctx context.Context
 }
 
+// ResetError reports an answer without a length whose connection ended before the request was written.
+type ResetError struct{ Reason error }
+
+// Error includes why the request was not written.
+func (e *ResetError) Error() string {
+	return fmt.Sprintf("answer without a length may be incomplete, the request was not written: %v", e.Reason)
+}
+
+// Unwrap returns the reason.
+func (e *ResetError) Unwrap() error { return e.Reason }
+
 // Status is the answer's status code.
 func (a *Answer) Status() int { return a.response.StatusCode }
 
@@ -66,10 +79,25 @@
 	if err := bfheader.CheckFields(a.response.Trailer); err != nil {
 		return err
 	}
+	if err := a.checkReset(); err != nil {
+		return err
+	}
 	a.ended = true
 	return nil
 }
 
+// checkReset returns a *ResetError if the connection of an answer that is delimited by its end may have been
+// reset. The system reports a reset once: if it fails the write of the request, the read gets the end.
+func (a *Answer) checkReset() error {
+	if a.response.ContentLength >= 0 || len(a.response.TransferEncoding) > 0 {
+		return nil
+	}
+	if err := a.upload.awaitWritten(a.ctx); err != nil {
+		return &ResetError{Reason: err}
+	}
+	return nil
+}
+
 // Close releases the connection for reuse, or closes it if the answer was not read to its end.
 func (a *Answer) Close() {
 	if a.conn == nil {
@@ -131,7 +159,7 @@
 		upload.stop()
 		return nil, &LostError{Address: k.address, Reused: k.reused, Begun: k.begun, Reason: causeOf(ctx, err)}
 	}
-	answer.stopCancel, answer.upload = stopCancel, upload
+	answer.stopCancel, answer.upload, answer.ctx = stopCancel, upload, ctx
 	return answer, nil
 }
 
--- a/lib/bfexchange/upload.go
+++ b/lib/bfexchange/upload.go
@@ -1,6 +1,7 @@
 package bfexchange
 
 import (
+	"context"
 	"errors"
 	"sync"
 	"time"
@@ -26,8 +27,16 @@
 	// goAhead is closed once the remainder may be sent, stopped once it is no longer wanted.
 	goAhead, stopped         chan struct{}
 	goAheadOnce, stoppedOnce sync.Once
-	// written receives the result.
-	written chan error
+	// finished is closed once the request was written or could not be; err is why not.
+	finished chan struct{}
+	err      error
+}
+
+// failedUpload is the upload of a request that could not be written to its end.
+func failedUpload(err error) *upload {
+	u := &upload{finished: make(chan struct{}), err: err}
+	close(u.finished)
+	return u
 }
 
 // proceed has the remainder sent.
@@ -52,13 +61,26 @@
 		return true
 	}
 	select {
-	case err := <-u.written:
-		return err == nil
+	case <-u.finished:
+		return u.err == nil
 	default:
 		return false
 	}
 }
 
+// awaitWritten waits until the whole request was sent, and returns why it was not.
+func (u *upload) awaitWritten(ctx context.Context) error {
+	if u == nil {
+		return nil
+	}
+	select {
+	case <-u.finished:
+		return u.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // errStopped is the error of an upload that was stopped before its remainder was sent.
 var errStopped = errors.New("upload was stopped")
 
@@ -97,7 +119,7 @@
 		if err != nil {
 			return nil, &NotSentError{Address: k.address, Reason: err}
 		}
-		u := &upload{loan: loan, goAhead: make(chan struct{}), stopped: make(chan struct{}), written: make(chan error, 1)}
+		u := &upload{loan: loan, goAhead: make(chan struct{}), stopped: make(chan struct{}), finished: make(chan struct{})}
 		if len(request.Header[bfheader.GoAhead]) == 0 {
 			u.proceed()
 		}
@@ -114,9 +136,7 @@
 	if err != nil {
 		// A target that refuses a long request may close the connection before it has
 		// read it all, and its answer may still be readable.
-		u := &upload{written: make(chan error, 1)}
-		u.written <- err
-		return u, nil
+		return failedUpload(err), nil
 	}
 	return nil, nil
 }
@@ -124,9 +144,9 @@
 // run sends the request. If the sender of the body ends it early, the connection is closed: the peer would
 // wait for the rest, and hold a slot for it.
 func (u *upload) run(k *conn, request *Request) {
-	err := request.write(k, u)
-	u.written <- err
-	if err != nil && !errors.Is(err, errStopped) && request.Rest.Err() != nil {
+	u.err = request.write(k, u)
+	close(u.finished)
+	if u.err != nil && !errors.Is(u.err, errStopped) && request.Rest.Err() != nil {
 		_ = k.SetDeadline(time.Unix(1, 0))
 	}
 }
--- a/lib/bfforward/forward.go
+++ b/lib/bfforward/forward.go
@@ -61,7 +61,7 @@
 // sending, if not nil, is called before the first byte is written. Send takes
 // ownership of the header.
 func (c *Client) Send(ctx context.Context, address string, r Request, sending func()) (*http.Response, error) {
-	permit := &writePermit{onFirstWrite: sending}
+	permit, writing := &writePermit{onFirstWrite: sending}, newWriting()
 	id, earlier := r.Header.Get(bfheader.RequestID), ""
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if dedicated, exclusive := info.Conn.(*conn); exclusive {
@@ -71,7 +71,7 @@
 		}
 		// Writes on a shared connection can't be attributed to a request.
 		permit.acquire(nil)
-	}}
+	}, WroteRequest: writing.end}
 	response, err := c.peer(address).RoundTrip(newRequest(httptrace.WithClientTrace(ctx, trace), address, r))
 	if err == nil {
 		err = check(response)
@@ -81,6 +81,9 @@
 		response.Body.Close()
 		return nil, &LostError{Address: address, Reason: &LateAnswerError{ID: earlier}}
 	case err == nil:
+		if len(r.Body) > 0 && response.ProtoMajor == 1 && response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+			response.Body = &unframedBody{ReadCloser: response.Body, writing: writing, ctx: ctx}
+		}
 		return response, nil
 	case permit.revoke():
 		return nil, &NotSentError{Address: address, Reason: err}
--- a/lib/bfforward/invalid_test.go
+++ b/lib/bfforward/invalid_test.go
@@ -82,3 +82,25 @@
 		is.True(errors.As(sendRaw(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n"+soundEnd), &lost))
 	}
 }
+
+// Guards against a part of a response without a length that passes as complete (MIXED): the connection was
+// reset while the request was still being written.
+func TestResetResponseWithoutLengthIsIncomplete(t *testing.T) {
+	is := is.New(t)
+	address := rawPeer(t, func(c *net.TCPConn, in *bufio.Reader) {
+		_, _ = io.CopyN(io.Discard, in, 20<<10)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+		time.Sleep(20 * time.Millisecond)
+		_ = c.SetLinger(0)
+	})
+	for range 20 {
+		client := New(DefaultOptions())
+		response, err := client.Send(context.Background(), address, Request{Method: http.MethodPost, Target: "/", Body: make([]byte, 6<<20)}, nil)
+		if err == nil {
+			_, err = io.ReadAll(response.Body)
+			response.Body.Close()
+		}
+		is.True(err != nil)
+		client.Sweep(time.Now().Add(time.Hour), 0)
+	}
+}
