What callers' requests hold is charged to one budget of the machine

What callers saw: a node ran out of memory and ended, with all requests on it, as callers sent heads of many short lines, or bodies that stopped short of their end. Cause: nothing bounded the sum: a head that is read costs some twenty times its bytes, a body up to 256 KB and its copies, a connection some 16 KB, and any number could wait at once. bfresource.Budget is a share of the machine's memory (0.4, a quarter of it for targets' answers). bfpipeline charges each connection, and each head as its bytes and lines arrive, before they are parsed; bfexchange.ReadRequest charges the kept part of a body as its buffer grows. When it is used up, requests that arrive slowly lose what they hold, in the order of memory times time, then connections without a request are closed, then new requests are refused: 503 with a Retry-After, and nothing of them has run. Complete requests keep what they have. A full port closes idle connections, longest idle first, then the slowest arrivals, and else closes the new one unread, instead of leaving it in the queue.

--- a/bfnode/internal/bfcommand/settings.go
+++ b/bfnode/internal/bfcommand/settings.go
@@ -113,12 +113,15 @@
 	return s.Mesh.CheckQuotas()
 }
 
+// limits returns the limits of what the process holds for clients.
+func (s Settings) limits() bfresource.Limits { return bfresource.NewLimits(s.Machine, s.Clients) }
+
 // commonSettings returns the settings that bfmesh shares with other nodes.
 func (s Settings) commonSettings() bfmesh.CommonSettings {
 	return bfmesh.CommonSettings{
 		Instance: s.Instance, Region: s.Region, FailureDomain: s.FailureDomain, Service: s.Service,
 		Caller: s.Listen.Caller, Inbound: s.Listen.Inbound, Operator: s.Listen.Operator,
-		Target: s.Listen.Target, Peer: s.Listen.Peer, PlatformAddress: s.Platform.Address,
+		Target: s.Listen.Target, Peer: s.Listen.Peer, PlatformAddress: s.Platform.Address, Limits: s.limits(),
 	}
 }
 
--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -39,6 +39,7 @@
 	"bilberryflow.org/lib/bfprogram"
 	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bfquotanet"
+	"bilberryflow.org/lib/bfresource"
 	"bilberryflow.org/lib/bfrollout"
 	"bilberryflow.org/lib/bfrumor"
 	"bilberryflow.org/lib/bfserver"
@@ -83,6 +84,8 @@
 	peers      net.Listener
 	callers    *bfpipeline.Server
 	ready      readiness
+	// budget bounds what the process holds for clients.
+	budget *bfresource.Budget
 }
 
 const (
@@ -135,6 +138,7 @@
 		fleet:      bffleet.New(place(common, settings)),
 		traffic:    bftraffic.NewHolder(nil),
 		quarantine: bfquarantine.New(common.Inbound),
+		budget:     bfresource.New(common.Limits),
 	}
 	n.rollouts = bfrollout.NewBook(bfrollout.Config{Terms: settings.Rollouts.terms(), Entries: n.fleet.Size, Now: n.timer.Now})
 	n.pacer = bfpacer.New(n.timer, settings.LinkMbps)
@@ -294,9 +298,10 @@
 		{"operator", n.common.Operator, bfoperator.NewUnauthenticated(n.inspector())},
 		{"ready", n.settings.Ready, ready},
 	}
+	limits := n.common.Limits
 	callers, err := bfpipeline.Listen(n.common.Caller, bfpipeline.Config{
 		Name: "caller", Handler: n.entry, MayRunConcurrently: n.entry.MayRunConcurrently, RejectHeader: n.entry.RejectHeader, Limits: n.limits,
-		SendBuffer: n.settings.sendBuffer(), Logger: n.logger,
+		SendBuffer: n.settings.sendBuffer(), Logger: n.logger, Port: n.budget.NewPort(limits.CallerConnections()),
 	})
 	if err != nil {
 		return nil, err
--- a/bfnode/internal/bfmesh/settings.go
+++ b/bfnode/internal/bfmesh/settings.go
@@ -7,6 +7,7 @@
 
 	"bilberryflow.org/lib/bfbudget"
 	"bilberryflow.org/lib/bfhedge"
+	"bilberryflow.org/lib/bfresource"
 	"bilberryflow.org/lib/bfsettings"
 )
 
@@ -119,6 +120,8 @@
 type CommonSettings struct {
 	Instance, Region, FailureDomain, Service                 string
 	Caller, Inbound, Operator, Target, Peer, PlatformAddress string
+	// Limits bound what the process holds for clients; the zero value bounds nothing.
+	Limits bfresource.Limits
 }
 
 // Example returns settings with every required field set.
--- a/lib/bfentry/handler.go
+++ b/lib/bfentry/handler.go
@@ -23,6 +23,7 @@
 	"bilberryflow.org/lib/bfpacer"
 	"bilberryflow.org/lib/bfprobe"
 	"bilberryflow.org/lib/bfquarantine"
+	"bilberryflow.org/lib/bfresource"
 	"bilberryflow.org/lib/bfrollout"
 	"bilberryflow.org/lib/bfroutestat"
 	"bilberryflow.org/lib/bftimer"
@@ -178,6 +179,11 @@
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 		return
 	}
+	var exhausted *bfresource.ExhaustedError
+	if errors.As(err, &exhausted) {
+		refuse(w, bfresource.RetryAfter)
+		return
+	}
 	if err != nil {
 		// The body ended early: the caller disconnected.
 		http.Error(w, "unreadable request: "+err.Error(), http.StatusBadRequest)
--- a/lib/bfexchange/incoming.go
+++ b/lib/bfexchange/incoming.go
@@ -5,10 +5,12 @@
 	"io"
 	"net/http"
 	"syscall"
+
+	"bilberryflow.org/lib/bfresource"
 )
 
 // ReadRequest reads up to limit bytes of a request's body and prepares the request for the next hop.
-// A longer body stays in Rest.
+// A longer body stays in Rest. What is kept is charged to the resources in the context of the request.
 func ReadRequest(r *http.Request, idHeader string, limit int64) (*Request, error) {
 	request := &Request{
 		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header,
@@ -19,17 +21,24 @@
 	if r.ContentLength == 0 {
 		return request, nil
 	}
-	head, err := io.ReadAll(io.LimitReader(r.Body, limit))
+	held := bfresource.FromContext(r.Context())
+	head, err := bfresource.ReadAll(io.LimitReader(r.Body, limit), min(r.ContentLength, limit), held)
 	if err != nil {
 		return nil, err
 	}
 	request.Head = head
 	if int64(len(head)) == limit {
+		if err := held.Charge(remainderBytes); err != nil {
+			return nil, err
+		}
 		request.Rest = NewRemainder(r.Body)
 	}
 	return request, nil
 }
 
+// remainderBytes is what the buffers take through which a remainder is passed on.
+const remainderBytes = 64 << 10
+
 // IsReset reports whether an error means that the other side closed the connection.
 func IsReset(err error) bool {
 	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
--- a/lib/bfhost/inbound.go
+++ b/lib/bfhost/inbound.go
@@ -1,6 +1,7 @@
 package bfhost
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -9,6 +10,7 @@
 	"bilberryflow.org/lib/bfexchange"
 	"bilberryflow.org/lib/bfheader"
 	"bilberryflow.org/lib/bfpacer"
+	"bilberryflow.org/lib/bfresource"
 	"bilberryflow.org/lib/bfroutestat"
 )
 
@@ -34,6 +36,12 @@
 	defer i.host.inProgress.Add(-1)
 	holdsBack := r.Header.Get(bfheader.GoAhead) != ""
 	job, err := i.read(r)
+	var exhausted *bfresource.ExhaustedError
+	if errors.As(err, &exhausted) {
+		w.Header().Set("Connection", "close")
+		i.RefuseExhausted(w, r)
+		return
+	}
 	if err != nil {
 		// A node of another version may send a policy that can't be parsed. Without the
 		// outcome the entry would treat this as the target's own answer.
@@ -80,6 +88,11 @@
 	}
 }
 
+// RefuseExhausted answers a request for which the node has no memory left. It has not run.
+func (i *Inbound) RefuseExhausted(w http.ResponseWriter, _ *http.Request) {
+	writeResult(w, Refused{Reason: Full, RetryAfter: bfresource.RetryAfter})
+}
+
 // writeGoAhead asks the other node for the remainder of a request's body.
 func writeGoAhead(w http.ResponseWriter) {
 	w.Header().Set(bfheader.GoAhead, bfheader.GoAheadMark)
--- a/lib/bfpipeline/connection.go
+++ b/lib/bfpipeline/connection.go
@@ -9,9 +9,12 @@
 	"net/http"
 	"net/textproto"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"bilberryflow.org/lib/bfresource"
 )
 
 // connection is a caller's connection. One goroutine reads its requests, and each request
@@ -19,6 +22,7 @@
 type connection struct {
 	server  *Server
 	conn    net.Conn
+	held    *bfresource.Conn
 	limited *limitedReader
 	reader  *bufio.Reader
 	writer  *bufio.Writer
@@ -49,8 +53,8 @@
 // readBuffer is the size of the connection's buffers in bytes, larger than most requests.
 const readBuffer = 4 << 10
 
-func newConnection(ctx context.Context, s *Server, conn net.Conn) *connection {
-	c := &connection{server: s, conn: conn, limited: &limitedReader{from: conn}, changed: make(chan struct{}, 1)}
+func newConnection(ctx context.Context, s *Server, conn net.Conn, held *bfresource.Conn) *connection {
+	c := &connection{server: s, conn: conn, held: held, limited: &limitedReader{from: conn}, changed: make(chan struct{}, 1)}
 	c.reader = bufio.NewReaderSize(c.limited, readBuffer)
 	c.writer = bufio.NewWriterSize(conn, readBuffer)
 	c.ctx, c.cancel = context.WithCancel(ctx)
@@ -76,6 +80,7 @@
 			return
 		}
 		if !c.admit(e) {
+			e.held.End()
 			continue
 		}
 		c.server.group.Go(c.server.config.Name+" request", e.run)
@@ -143,14 +148,43 @@
 
 // read reads a request. A malformed one is replaced by one that is answered with an error.
 func (c *connection) read() (*exchange, error) {
+	held, exhausted := c.held.Begin(c.giveUpArrival)
+	e, err := c.readHeld(held, exhausted)
+	if err != nil {
+		held.End()
+		return nil, err
+	}
+	e.hold(held)
+	return e, nil
+}
+
+// giveUpArrival ends the read of the request that arrives. Reads fail from now on until it is answered.
+func (c *connection) giveUpArrival() {
+	// An error means that the connection is broken, which ends the read as well.
+	_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// readHeld is read of a request whose memory is charged to held.
+func (c *connection) readHeld(held *bfresource.Request, exhausted error) (*exchange, error) {
+	if exhausted != nil {
+		return c.unavailable(), nil
+	}
 	limits := c.server.limits()
 	if err := c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
 		return nil, err
 	}
-	c.limited.allow(limits.HeaderBytes)
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if c.limited.allow(limits.HeaderBytes, held, buffered) != nil {
+		return c.unavailable(), nil
+	}
 	request, err := http.ReadRequest(c.reader)
 	c.limited.allowAll()
 	switch {
+	case c.limited.exhausted != nil:
+		return c.unavailable(), nil
 	case c.limited.exceeded:
 		return c.rejection(http.StatusRequestHeaderFieldsTooLarge), nil
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -168,7 +202,7 @@
 	if err := c.conn.SetReadDeadline(time.Time{}); err != nil {
 		return nil, err
 	}
-	e := newExchange(c, request, c.server.config.Handler)
+	e := newExchange(c, request.WithContext(bfresource.WithRequest(c.ctx, held)), c.server.config.Handler)
 	e.limitBody(limits.BodyBytes)
 	return e, nil
 }
@@ -187,10 +221,18 @@
 	}))
 }
 
+// unavailable is the rejection of a request for which no memory is left. It has not run.
+func (c *connection) unavailable() *exchange {
+	return c.rejectionBy(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Retry-After", strconv.FormatFloat(bfresource.RetryAfter.Seconds(), 'f', 3, 64))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+}
+
 // rejectionBy is rejection with an answer by a handler, which receives nothing of the request.
 func (c *connection) rejectionBy(handler http.Handler) *exchange {
 	request := &http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody, Close: true}
-	return newExchange(c, request, handler)
+	return newExchange(c, request.WithContext(c.ctx), handler)
 }
 
 // rejectionOf makes the rejection of a request that can't be parsed.
@@ -312,7 +354,7 @@
 		return
 	}
 	half, ok := c.conn.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil || c.conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+	if !ok || c.limited.exhausted != nil || half.CloseWrite() != nil || c.conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
 		return
 	}
 	// The connection is closed next, whatever the error.
@@ -333,32 +375,3 @@
 	// An error means that the connection is broken.
 	_ = lingering.SetLinger(seconds)
 }
-
-// limitedReader bounds the bytes read for one header.
-type limitedReader struct {
-	from      io.Reader
-	limited   bool
-	remaining int
-	// exceeded is set once a header was longer than allowed.
-	exceeded bool
-}
-
-// allow limits the following reads to n bytes in total.
-func (r *limitedReader) allow(n int) { r.limited, r.remaining = true, n }
-
-// allowAll removes the limit.
-func (r *limitedReader) allowAll() { r.limited = false }
-
-// Read reads up to the limit and returns io.EOF beyond it.
-func (r *limitedReader) Read(p []byte) (int, error) {
-	if !r.limited {
-		return r.from.Read(p)
-	}
-	if r.remaining <= 0 {
-		r.exceeded = true
-		return 0, io.EOF
-	}
-	n, err := r.from.Read(p[:min(len(p), r.remaining)])
-	r.remaining -= n
-	return n, err
-}
--- a/lib/bfpipeline/exchange.go
+++ b/lib/bfpipeline/exchange.go
@@ -16,6 +16,7 @@
 	"golang.org/x/net/http/httpguts"
 
 	"bilberryflow.org/lib/bflog"
+	"bilberryflow.org/lib/bfresource"
 )
 
 // exchange is a request and its answer; it is the handler's http.ResponseWriter.
@@ -39,6 +40,8 @@
 	bodyOnce sync.Once
 	// done is closed once the request is answered or aborted.
 	done chan struct{}
+	// held is what the process holds for the request, nil where nothing is bounded.
+	held *bfresource.Request
 
 	header  http.Header
 	status  int
@@ -58,7 +61,7 @@
 		connection: c, handler: handler, header: http.Header{},
 		bodyDone: make(chan struct{}), done: make(chan struct{}),
 	}
-	e.request = request.WithContext(c.ctx)
+	e.request = request
 	if c.conn != nil {
 		e.request.RemoteAddr = c.conn.RemoteAddr().String()
 	}
@@ -142,12 +145,26 @@
 		// An error means that the connection is broken.
 		_ = e.connection.conn.SetWriteDeadline(time.Time{})
 	}
+	e.held.End()
 	e.connection.remove(e)
 	close(e.done)
 }
 
 // finishBody marks the request's body as done.
-func (e *exchange) finishBody() { e.bodyOnce.Do(func() { close(e.bodyDone) }) }
+func (e *exchange) finishBody() {
+	e.bodyOnce.Do(func() {
+		e.held.Arrived()
+		close(e.bodyDone)
+	})
+}
+
+// hold has the request keep what the process holds for it, until its end.
+func (e *exchange) hold(held *bfresource.Request) {
+	e.held = held
+	if e.bodyIsDone() {
+		held.Arrived()
+	}
+}
 
 // abort closes the connection at once.
 func (e *exchange) abort() {
--- a/lib/bfpipeline/server.go
+++ b/lib/bfpipeline/server.go
@@ -12,6 +12,7 @@
 
 	"bilberryflow.org/lib/bfgroup"
 	"bilberryflow.org/lib/bflog"
+	"bilberryflow.org/lib/bfresource"
 )
 
 // Limits bound callers' requests and connections. Zero fields mean the defaults.
@@ -57,6 +58,8 @@
 	RejectHeader func(name string) http.Handler
 	// Limits returns the current limits; nil means the defaults.
 	Limits func() Limits
+	// Port bounds the connections and what they hold; nil bounds nothing.
+	Port *bfresource.Port
 	// SendBuffer is the size of a connection's socket send buffer in bytes, 0 for the system
 	// default.
 	SendBuffer int
@@ -147,17 +150,25 @@
 		// On an error the system's default buffer size stays in effect.
 		_ = tcp.SetWriteBuffer(s.config.SendBuffer)
 	}
-	c := newConnection(s.group.Context(), s, accepted)
+	held, err := s.config.Port.Open(func() { accepted.Close() })
+	if err != nil {
+		// Nothing was read from it, so that its caller may send its request again.
+		accepted.Close()
+		return
+	}
+	c := newConnection(s.group.Context(), s, accepted, held)
 	s.mu.Lock()
 	if s.stopping {
 		s.mu.Unlock()
 		accepted.Close()
+		held.Close()
 		return
 	}
 	s.open[c] = struct{}{}
 	s.mu.Unlock()
 	s.group.Go(s.config.Name+" connection", func(context.Context) error {
 		defer s.remove(c)
+		defer held.Close()
 		c.serve()
 		return nil
 	})
--- /dev/null
+++ b/lib/bfresource/port.go
@@ -0,0 +1,155 @@
+package bfresource
+
+import (
+	"container/list"
+	"fmt"
+	"time"
+)
+
+// FullError reports a connection that a port can't take.
+type FullError struct{ Limit int }
+
+// Error includes the limit.
+func (e *FullError) Error() string {
+	return fmt.Sprintf("%d connections are open and none of them can be closed", e.Limit)
+}
+
+// Port is a port of the process and its share of the connections; nil bounds nothing.
+type Port struct {
+	budget *Budget
+	limit  int
+	open   map[*Conn]struct{}
+	// idle holds the connections without a request, longest idle first.
+	idle *list.List
+}
+
+// NewPort returns a port with at most limit connections.
+func (b *Budget) NewPort(limit int) *Port {
+	if b == nil {
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := &Port{budget: b, limit: limit, open: map[*Conn]struct{}{}, idle: list.New()}
+	b.ports = append(b.ports, p)
+	return p
+}
+
+// Conn is a client's connection; nil bounds nothing.
+type Conn struct {
+	port *Port
+	// close closes the connection; it doesn't block.
+	close func()
+
+	// The budget guards what follows.
+	requests  int
+	idleSince time.Time
+	// element is the connection's place among the idle ones, nil if it has a request.
+	element *list.Element
+	closed  bool
+}
+
+// Open adds an accepted connection, which close closes without blocking. Others are closed in its favour if the
+// port or the memory is full: idle ones first, then those whose request arrives slowly. It fails with a
+// *FullError or an *ExhaustedError if there are none.
+func (p *Port) Open(close func()) (*Conn, error) {
+	if p == nil {
+		return nil, nil
+	}
+	b := p.budget
+	c := &Conn{port: p, close: close}
+	b.mu.Lock()
+	ended, err := b.add(c)
+	b.mu.Unlock()
+	ended.end()
+	return c, err
+}
+
+// add adds a connection; the caller ends the victims without holding mu.
+func (b *Budget) add(c *Conn) (victims, error) {
+	p := c.port
+	var ended victims
+	if len(p.open) >= p.limit {
+		ended = b.makeRoom(p)
+	}
+	if len(p.open) >= p.limit {
+		b.counts.Refused++
+		return ended, &FullError{Limit: p.limit}
+	}
+	if b.held+connectionBytes > b.memory {
+		ended = append(ended, b.reclaim(nil, b.held+connectionBytes-b.memory)...)
+	}
+	if b.held+connectionBytes > b.memory {
+		b.counts.Refused++
+		return ended, &ExhaustedError{Bytes: connectionBytes}
+	}
+	b.held += connectionBytes
+	p.open[c] = struct{}{}
+	c.setIdle(b.now())
+	return ended, nil
+}
+
+// setIdle marks the connection as one without a request. The budget must be locked.
+func (c *Conn) setIdle(now time.Time) {
+	if !c.closed && c.element == nil {
+		c.idleSince = now
+		c.element = c.port.idle.PushBack(c)
+	}
+}
+
+// setBusy marks the connection as one with a request. The budget must be locked.
+func (c *Conn) setBusy() {
+	if c.element != nil {
+		c.port.idle.Remove(c.element)
+		c.element = nil
+	}
+}
+
+// endRequest ends a request of the connection. The budget must be locked.
+func (c *Conn) endRequest(now time.Time) {
+	c.requests--
+	if c.requests == 0 {
+		c.setIdle(now)
+	}
+}
+
+// Begin adds a request whose first byte has arrived. giveUp ends its arrival without blocking. If there is no
+// memory for the request, it holds none, and the error is an *ExhaustedError.
+func (c *Conn) Begin(giveUp func()) (*Request, error) {
+	if c == nil {
+		return nil, nil
+	}
+	b := c.port.budget
+	r := &Request{conn: c, giveUp: giveUp}
+	b.mu.Lock()
+	r.began = b.now()
+	c.requests++
+	c.setBusy()
+	b.arriving[r] = struct{}{}
+	ended, err := b.charge(r, requestBytes)
+	b.mu.Unlock()
+	ended.end()
+	return r, err
+}
+
+// Close removes a closed connection; further calls do nothing.
+func (c *Conn) Close() {
+	if c == nil {
+		return
+	}
+	b := c.port.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.remove()
+}
+
+// remove is Close. The budget must be locked.
+func (c *Conn) remove() {
+	if c.closed {
+		return
+	}
+	c.setBusy()
+	c.closed = true
+	delete(c.port.open, c)
+	c.port.budget.held -= connectionBytes
+}
--- a/lib/bfresource/settings.go
+++ b/lib/bfresource/settings.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"syscall"
@@ -76,6 +77,75 @@
 	BodyPause time.Duration
 }
 
+const (
+	// answerParts is the part of the clients' memory that is for the answers of targets, as a divisor.
+	answerParts = 4
+	// maxAnswerMemory bounds it in bytes.
+	maxAnswerMemory = 16 << 20
+	// runtimeShare is the share of the memory above which the runtime collects garbage without waiting for the
+	// heap to double. The rest is for what the runtime doesn't count.
+	runtimeShare = 0.75
+)
+
+// clientMemory returns the memory for all clients in bytes.
+func (l Limits) clientMemory() int64 { return int64(l.MemoryShare * float64(l.MachineMemory)) }
+
+// AnswerMemory returns the memory for the beginnings of targets' answers in bytes.
+func (l Limits) AnswerMemory() int64 { return min(l.clientMemory()/answerParts, maxAnswerMemory) }
+
+// requestMemory returns the memory for requests and connections in bytes.
+func (l Limits) requestMemory() int64 { return l.clientMemory() - l.AnswerMemory() }
+
+// LimitRuntime sets the soft limit of the runtime's memory, unless GOMEMLIMIT does. Without it, the heap may grow
+// to twice of what is in use before garbage is collected.
+func (l Limits) LimitRuntime() {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(runtimeShare * float64(l.MachineMemory)))
+	}
+}
+
+const (
+	// fileParts is the part of the descriptors that is kept for files, as a divisor.
+	fileParts = 20
+	// ownDescriptors is the number of descriptors that a process needs beside connections: its ports, the
+	// runtime's and the standard streams.
+	ownDescriptors = 32
+	// minConnections is the least number of connections of a port.
+	minConnections = 8
+)
+
+// Shares of the connections that callers don't get.
+const (
+	nodeShare    = 0.4
+	servicePart  = 0.04
+	forwardShare = 0.22
+	targetShare  = 0.1
+)
+
+// connections returns a number of connections.
+func (l Limits) connections(share float64) int {
+	usable := l.Descriptors - l.Descriptors/fileParts - ownDescriptors
+	return max(int(share*float64(usable)), minConnections)
+}
+
+// CallerConnections returns the limit of the connections of callers.
+func (l Limits) CallerConnections() int { return l.connections(l.ConnectionShare) }
+
+// NodeConnections returns the limit of the connections of other nodes' requests.
+func (l Limits) NodeConnections() int { return l.connections((1 - l.ConnectionShare) * nodeShare) }
+
+// ServiceConnections returns the limit of each of the ports for reports, readiness, operators, metrics and the
+// calls of other nodes.
+func (l Limits) ServiceConnections() int { return l.connections((1 - l.ConnectionShare) * servicePart) }
+
+// ForwardConnections returns the limit of the connections to other nodes.
+func (l Limits) ForwardConnections() int {
+	return l.connections((1 - l.ConnectionShare) * forwardShare)
+}
+
+// TargetConnections returns the limit of the connections to the node's target.
+func (l Limits) TargetConnections() int { return l.connections((1 - l.ConnectionShare) * targetShare) }
+
 // unknownMemory is assumed where the system does not tell, in bytes.
 const unknownMemory = 1 << 30
 
