The other HTTP ports charge what they hold, on both interfaces

What callers saw: the same crowds ended the nodes of targets (heads between nodes of up to 1 MB, reports, readiness, operators, metrics), and nodes of the own interface; there 200 requests that state 60 MB and send a byte took 11.6 GB, as bfhop.ReadBody reserved the stated length. A bound connection charges a head as its bytes arrive, and the request until its answer is written; each port has its share of the descriptors. Where no memory is left the port's own refusal is sent: 503 to callers, a refusal with its reason between nodes, so that the entry asks another target. ReadBody grows with what arrives.

--- a/bfnode/internal/bfcommand/command.go
+++ b/bfnode/internal/bfcommand/command.go
@@ -13,6 +13,7 @@
 	"bilberryflow.org/lib/bfcaller"
 	"bilberryflow.org/lib/bflog"
 	"bilberryflow.org/lib/bfprogram"
+	"bilberryflow.org/lib/bfresource"
 	"bilberryflow.org/lib/bfserver"
 )
 
@@ -58,17 +59,19 @@
 	}
 	announcements := http.NewServeMux()
 	announcements.HandleFunc("POST "+bfannounce.Path, n.guard.ServeAnnouncements)
+	service := func() *bfresource.Port { return n.budget.NewPort(n.limits.ServiceConnections()) }
 	ports := []struct {
 		name, address string
 		handler       http.Handler
+		options       bfserver.Options
 	}{
-		{"caller", s.Listen.Caller, n.caller},
-		{"inbound", s.Listen.Inbound, n.guard},
-		{"target", s.Listen.Target, announcements},
+		{"caller", s.Listen.Caller, n.caller, bfserver.Options{Bounds: n.budget.NewPort(n.limits.CallerConnections()), Exhausted: n.caller.RefuseExhausted}},
+		{"inbound", s.Listen.Inbound, n.guard, bfserver.Options{Bounds: n.budget.NewPort(n.limits.NodeConnections()), Exhausted: n.guard.RefuseExhausted}},
+		{"target", s.Listen.Target, announcements, bfserver.Options{Bounds: service()}},
 	}
 	var servers []transport.Server
 	for _, port := range ports {
-		server, err := bfserver.Listen(port.name, port.address, port.handler, nil)
+		server, err := bfserver.Listen(port.name, port.address, port.handler, port.options)
 		if err != nil {
 			return nil, err
 		}
@@ -77,7 +80,7 @@
 		}
 		servers = append(servers, server)
 	}
-	operator, err := bfserver.Listen("operator", s.Listen.Operator, n.operator, tlsConfig)
+	operator, err := bfserver.Listen("operator", s.Listen.Operator, n.operator, bfserver.Options{TLS: tlsConfig, Bounds: service()})
 	if err != nil {
 		return nil, err
 	}
--- a/bfnode/internal/bfcommand/node.go
+++ b/bfnode/internal/bfcommand/node.go
@@ -23,6 +23,7 @@
 	"bilberryflow.org/lib/bfpeer"
 	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bfrecord"
+	"bilberryflow.org/lib/bfresource"
 	"bilberryflow.org/lib/bfroster"
 	"bilberryflow.org/lib/bfroute"
 	"bilberryflow.org/lib/bfrumor"
@@ -57,6 +58,8 @@
 	entry           *bfcaller.Entry
 	caller          *bfcaller.Handler
 	operator        *bfoperator.Handler
+	limits          bfresource.Limits
+	budget          *bfresource.Budget
 }
 
 // newNode builds the components and connects them; the start time of the process is
@@ -70,7 +73,9 @@
 		group:      bfgroup.New(context.Background()),
 		timer:      bftimer.New(incarnation),
 		quarantine: bfquarantine.New(settings.Instance),
+		limits:     settings.limits(),
 	}
+	n.budget = bfresource.New(n.limits)
 	n.metrics.Publish("node")
 	n.metrics.Gauge("goroutines_in_group", n.group.Running)
 	n.platform = bftable.New(settings.Platform.Address, settings.Platform.Timeout.Std(), n.metrics)
--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -299,6 +299,7 @@
 		{"ready", n.settings.Ready, ready},
 	}
 	limits := n.common.Limits
+	service := func() *bfresource.Port { return n.budget.NewPort(limits.ServiceConnections()) }
 	callers, err := bfpipeline.Listen(n.common.Caller, bfpipeline.Config{
 		Name: "caller", Handler: n.entry, MayRunConcurrently: n.entry.MayRunConcurrently, RejectHeader: n.entry.RejectHeader, Limits: n.limits,
 		SendBuffer: n.settings.sendBuffer(), Logger: n.logger, Port: n.budget.NewPort(limits.CallerConnections()),
@@ -307,7 +308,10 @@
 		return nil, err
 	}
 	n.callers = callers
-	inbound, err := bfserver.ListenPacked("inbound", n.common.Inbound, bfhost.NewInbound(n.host, n.pacer), n.logInvalidFrame)
+	handler := bfhost.NewInbound(n.host, n.pacer)
+	inbound, err := bfserver.ListenPacked("inbound", n.common.Inbound, handler, bfserver.Options{
+		Bounds: n.budget.NewPort(limits.NodeConnections()), Exhausted: handler.RefuseExhausted,
+	}, n.logInvalidFrame)
 	if err != nil {
 		return nil, err
 	}
@@ -319,7 +323,7 @@
 		ports = append(ports, port{"metrics", n.settings.Metrics, metrics})
 	}
 	for _, port := range ports {
-		server, err := bfserver.Listen(port.name, port.address, port.handler, nil)
+		server, err := bfserver.Listen(port.name, port.address, port.handler, bfserver.Options{Bounds: service()})
 		if err != nil {
 			return nil, err
 		}
--- a/bfplatform/internal/bfcommand/command.go
+++ b/bfplatform/internal/bfcommand/command.go
@@ -80,7 +80,7 @@
 		faults.Clear()
 		w.WriteHeader(http.StatusNoContent)
 	})
-	port, err := bfserver.Listen("platform", settings.Listen, mux, nil)
+	port, err := bfserver.Listen("platform", settings.Listen, mux, bfserver.Options{})
 	if err != nil {
 		return bfprogram.App{}, err
 	}
--- a/bftarget/internal/bfcommand/command.go
+++ b/bftarget/internal/bfcommand/command.go
@@ -75,7 +75,7 @@
 			logger.Emit(bflog.RunStarted, slog.String("request", id), slog.String("key", key), slog.String("mark", mark))
 		})
 	}
-	port, err := bfserver.Listen("target", s.Listen, routes(target, ledger), nil)
+	port, err := bfserver.Listen("target", s.Listen, routes(target, ledger), bfserver.Options{})
 	if err != nil {
 		return bfprogram.App{}, err
 	}
--- a/lib/bfcaller/handler.go
+++ b/lib/bfcaller/handler.go
@@ -16,6 +16,7 @@
 	"bilberryflow.org/lib/bfheader"
 	"bilberryflow.org/lib/bfhop"
 	"bilberryflow.org/lib/bfrecord"
+	"bilberryflow.org/lib/bfresource"
 	"bilberryflow.org/lib/bfroute"
 )
 
@@ -75,9 +76,9 @@
 		h.serveWellKnown(w, r)
 		return
 	}
-	request, invalid := h.read(w, r)
-	if invalid != nil {
-		writeResult(w, r.Method, *invalid)
+	request, refusal := h.read(w, r)
+	if refusal != nil {
+		writeResult(w, r.Method, refusal)
 		return
 	}
 	writeResult(w, r.Method, h.entry.Run(r.Context(), request))
@@ -91,26 +92,42 @@
 	return e.Version + " marks no end of an answer; use HTTP/1.1"
 }
 
-func (h *Handler) read(w http.ResponseWriter, r *http.Request) (Request, *Invalid) {
+// read reads a request. refusal is nil if it can be run.
+func (h *Handler) read(w http.ResponseWriter, r *http.Request) (request Request, refusal Result) {
 	if !r.ProtoAtLeast(1, 1) {
-		return Request{}, &Invalid{Status: http.StatusHTTPVersionNotSupported, Title: "HTTP version", Err: &VersionError{r.Proto}}
+		return Request{}, Invalid{Status: http.StatusHTTPVersionNotSupported, Title: "HTTP version", Err: &VersionError{r.Proto}}
 	}
 	path, err := bfroute.CleanPath(r.URL.EscapedPath())
 	if err != nil {
-		return Request{}, &Invalid{Status: http.StatusBadRequest, Title: "Unacceptable path", Err: err}
+		return Request{}, Invalid{Status: http.StatusBadRequest, Title: "Unacceptable path", Err: err}
 	}
-	request := Request{Method: r.Method, Path: path, Query: r.URL.RawQuery, Header: r.Header}
+	request = Request{Method: r.Method, Path: path, Query: r.URL.RawQuery, Header: r.Header}
 	if err := readHeader(&request, r.Header); err != nil {
-		return Request{}, &Invalid{Status: http.StatusBadRequest, Title: "Unreadable header", Err: err}
+		return Request{}, Invalid{Status: http.StatusBadRequest, Title: "Unreadable header", Err: err}
 	}
 	bfheader.Strip(r.Header)
 	request.Body, err = bfhop.ReadBody(w, r, h.maxBody, h.bodyTimeout)
-	if err != nil {
+	var body *bfhop.BodyError
+	switch {
+	case errors.As(err, &body) && body.Exhausted:
+		w.Header().Set("Connection", "close")
+		return Request{}, exhausted()
+	case err != nil:
 		return Request{}, invalidBody(err)
 	}
 	return request, nil
 }
 
+// exhausted is the result of a request for which the node has no memory left.
+func exhausted() NotRun {
+	return NotRun{Reason: bfrecord.ReasonOverload, RetryAfter: addJitter(bfresource.RetryAfter)}
+}
+
+// RefuseExhausted answers a request for which the node has no memory left. It has not run.
+func (h *Handler) RefuseExhausted(w http.ResponseWriter, r *http.Request) {
+	writeResult(w, r.Method, exhausted())
+}
+
 func readHeader(request *Request, h http.Header) (err error) {
 	if request.TimeLeft, err = bfheader.ReadDeadline(h); err != nil {
 		return err
@@ -143,12 +160,12 @@
 	return value, nil
 }
 
-func invalidBody(err error) *Invalid {
+func invalidBody(err error) Invalid {
 	var body *bfhop.BodyError
 	if errors.As(err, &body) && body.TooLarge {
-		return &Invalid{Status: http.StatusRequestEntityTooLarge, Title: "Body too large", Err: err}
+		return Invalid{Status: http.StatusRequestEntityTooLarge, Title: "Body too large", Err: err}
 	}
-	return &Invalid{Status: http.StatusRequestTimeout, Title: "Body not received", Err: err}
+	return Invalid{Status: http.StatusRequestTimeout, Title: "Body not received", Err: err}
 }
 
 func writeResult(w http.ResponseWriter, method string, result Result) {
--- a/lib/bfguard/serve.go
+++ b/lib/bfguard/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"errors"
 	"io"
 	"log/slog"
 	"net/http"
@@ -13,6 +14,7 @@
 	"bilberryflow.org/lib/bfhop"
 	"bilberryflow.org/lib/bflog"
 	"bilberryflow.org/lib/bfrecord"
+	"bilberryflow.org/lib/bfresource"
 )
 
 const (
@@ -78,7 +80,14 @@
 	}
 	in := &inboundRequest{guard: g, w: w, r: r, meta: meta, sentTo: meta.Home, arrived: now, deadline: now.Add(meta.TimeLeft)}
 	in.meta.Home = g.canonicalHome(meta.Home)
-	if in.body, err = bfhop.ReadBody(w, r, maxBody, meta.TimeLeft); err != nil {
+	var body *bfhop.BodyError
+	in.body, err = bfhop.ReadBody(w, r, maxBody, meta.TimeLeft)
+	if errors.As(err, &body) && body.Exhausted {
+		w.Header().Set("Connection", "close")
+		in.writeRefusal(exhausted(meta))
+		return
+	}
+	if err != nil {
 		// The request is incomplete, so no record of it is made.
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -90,6 +99,22 @@
 	}
 }
 
+// exhausted is the refusal of a request for which the node has no memory left.
+func exhausted(meta bfhop.Meta) refused {
+	return refused{refusal: bfrecord.Refusal{ID: meta.ID, Home: meta.Home, Reason: bfrecord.ReasonOverload, RetryAfter: bfresource.RetryAfter}}
+}
+
+// RefuseExhausted answers a request for which the node has no memory left. It has not run.
+func (g *Guard) RefuseExhausted(w http.ResponseWriter, r *http.Request) {
+	meta, err := bfhop.Read(r.Header)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	in := &inboundRequest{guard: g, w: w, r: r, meta: meta}
+	in.writeRefusal(exhausted(meta))
+}
+
 // begin looks up or creates the request's record, and runs the request if it is new.
 func (in *inboundRequest) begin() inboundResult {
 	g := in.guard
--- a/lib/bfhop/body.go
+++ b/lib/bfhop/body.go
@@ -1,19 +1,21 @@
 package bfhop
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"time"
+
+	"bilberryflow.org/lib/bfresource"
 )
 
 // BodyError reports a request body that could not be read.
 type BodyError struct {
-	// TooLarge is set if the body exceeds the limit.
-	TooLarge bool
-	Reason   string
+	// TooLarge is set if the body exceeds the limit, Exhausted if there was no memory left for it.
+	TooLarge  bool
+	Exhausted bool
+	Reason    string
 }
 
 // Error gives the reason.
@@ -22,7 +24,8 @@
 // ReadBody reads the whole body of a request; its error is a BodyError.
 //
 // timeout limits the whole body, so that slow senders can't hold a node's
-// connections indefinitely.
+// connections indefinitely. The body is charged to the resources in the context of the
+// request as it arrives, whatever length it states.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
@@ -33,13 +36,12 @@
 	if r.ContentLength > limit {
 		return nil, tooLarge(limit)
 	}
-	var body bytes.Buffer
-	if r.ContentLength > 0 {
-		body.Grow(int(r.ContentLength) + bytes.MinRead)
-	}
-	_, err := body.ReadFrom(http.MaxBytesReader(w, r.Body, limit))
+	body, err := bfresource.ReadAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, bfresource.FromContext(r.Context()))
 	var over *http.MaxBytesError
+	var exhausted *bfresource.ExhaustedError
 	switch {
+	case errors.As(err, &exhausted):
+		return nil, &BodyError{Exhausted: true, Reason: err.Error()}
 	case errors.As(err, &over):
 		return nil, tooLarge(limit)
 	case err != nil:
@@ -48,7 +50,7 @@
 		return nil, &BodyError{Reason: err.Error()}
 	}
 	_ = controller.SetReadDeadline(time.Time{})
-	return body.Bytes(), nil
+	return body, nil
 }
 
 func tooLarge(limit int64) error {
--- a/lib/bfserver/server_test.go
+++ b/lib/bfserver/server_test.go
@@ -19,7 +19,7 @@
 // listen serves handler; header overrides ReadHeaderTimeout if above 0.
 func listen(t *testing.T, headerTimeout time.Duration, handler http.HandlerFunc) *Port {
 	is := is.New(t)
-	port, err := Listen("caller", "127.0.0.1:0", handler, nil)
+	port, err := Listen("caller", "127.0.0.1:0", handler, Options{})
 	is.NoErr(err)
 	return start(t, port, headerTimeout)
 }
@@ -64,7 +64,7 @@
 // for the length of its head.
 func TestHeadsOfCallersGetThroughBetweenNodes(t *testing.T) {
 	is := is.New(t)
-	port, err := ListenPacked("inbound", "127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }), nil)
+	port, err := ListenPacked("inbound", "127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }), Options{}, nil)
 	is.NoErr(err)
 	start(t, port, 0)
 	for _, size := range []int{60_000, bfheader.MaxHead} {
@@ -111,7 +111,7 @@
 func TestListenErrorNamesThePort(t *testing.T) {
 	is := is.New(t)
 	port := listen(t, 0, func(http.ResponseWriter, *http.Request) {})
-	_, err := Listen("operator", port.Address(), nil, nil)
+	_, err := Listen("operator", port.Address(), nil, Options{})
 	var taken *ListenError
 	is.True(errors.As(err, &taken))
 	is.Equal(taken.Port, "operator")
