Calls between nodes charge their messages

Each message is charged as it arrives, and what it decompresses to before it is decompressed, until the next one is read. The port has its share of the descriptors.

--- a/bfnode/internal/bfcommand/command.go
+++ b/bfnode/internal/bfcommand/command.go
@@ -87,6 +87,7 @@
 	if n.peers, err = net.Listen("tcp", s.Listen.Peer); err != nil {
 		return nil, &bfserver.ListenError{Port: "peer", Address: s.Listen.Peer, Reason: err}
 	}
+	n.peers = bfresource.NewListener(n.peers, service())
 	return append(servers, operator), nil
 }
 
--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -333,6 +333,7 @@
 	if n.peers, err = net.Listen("tcp", n.common.Peer); err != nil {
 		return nil, &bfserver.ListenError{Port: "peer", Address: n.common.Peer, Reason: err}
 	}
+	n.peers = bfresource.NewListener(n.peers, service())
 	return servers, nil
 }
 
--- a/lib/bfpeer/frame.go
+++ b/lib/bfpeer/frame.go
@@ -2,16 +2,16 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"io"
 	"sync"
 
 	"github.com/klauspost/compress/zstd"
 	"golang.org/x/exp/jsonrpc2"
+
+	"bilberryflow.org/lib/bfresource"
 )
 
 // framer frames JSON-RPC messages as a varint length, a mark byte, and the plain or
@@ -28,8 +28,6 @@
 	// maxMessage bounds the decompressed size of a message in bytes. It fits the largest
 	// snapshot and a node's memory of 128 MB.
 	maxMessage = 16 << 20
-	// initialBuffer bounds the bytes allocated before any of the message has arrived.
-	initialBuffer = 64 << 10
 	// compressAbove is the message size in bytes from which compression reduces the size.
 	compressAbove  = 128
 	plainMark      = 0
@@ -71,7 +69,11 @@
 
 // Reader reads messages from a connection.
 func (f *framer) Reader(r io.Reader) jsonrpc2.Reader {
-	return &frameReader{framer: f, in: bufio.NewReader(r)}
+	reader := &frameReader{framer: f, in: bufio.NewReader(r)}
+	if s, ok := r.(*stream); ok {
+		reader.held, reader.giveUp = s.held(), func() { s.Conn.Close() }
+	}
+	return reader
 }
 
 // Writer writes messages to a connection.
@@ -80,13 +82,42 @@
 type frameReader struct {
 	framer *framer
 	in     *bufio.Reader
+	// held is what the process holds for the connection, nil for one that it has opened. giveUp closes it.
+	held   *bfresource.Conn
+	giveUp func()
+	// message is what the process holds for the last message.
+	message *bfresource.Request
 }
 
-// Read reads one message.
+// Read reads one message. What it takes is charged to the connection until the next Read.
 func (r *frameReader) Read(ctx context.Context) (jsonrpc2.Message, int64, error) {
+	r.message.End()
 	if err := ctx.Err(); err != nil {
 		return nil, 0, err
 	}
+	if _, err := r.in.Peek(1); err != nil {
+		return nil, 0, err
+	}
+	var err error
+	if r.message, err = r.held.Begin(r.giveUp); err != nil {
+		return nil, 0, r.failed(err)
+	}
+	message, total, err := r.read()
+	if err != nil {
+		return nil, total, r.failed(err)
+	}
+	r.message.Arrived()
+	r.framer.traffic.addReceived(r.framer.purposeOf(message, false), int(total))
+	return message, total, nil
+}
+
+// failed releases a message that can't be read; nothing more is read from the connection.
+func (r *frameReader) failed(err error) error {
+	r.message.End()
+	return err
+}
+
+func (r *frameReader) read() (message jsonrpc2.Message, total int64, err error) {
 	size, err := binary.ReadUvarint(r.in)
 	if err != nil {
 		return nil, 0, err
@@ -94,28 +125,39 @@
 	if size < 1 || size > maxMessage {
 		return nil, 0, &FrameError{Reason: fmt.Sprintf("length %d out of range", size)}
 	}
-	data, err := readBody(r.in, int64(size))
+	data, err := readBody(r.in, int64(size), r.message)
 	if err != nil {
 		return nil, 0, err
 	}
-	total := int64(size) + int64(binary.PutUvarint(make([]byte, binary.MaxVarintLen64), size))
-	message, err := decodeFrame(data)
-	if err != nil {
+	total = int64(size) + int64(binary.PutUvarint(make([]byte, binary.MaxVarintLen64), size))
+	if err := r.message.Charge(decodedBytes(data)); err != nil {
 		return nil, total, err
 	}
-	r.framer.traffic.addReceived(r.framer.purposeOf(message, false), int(total))
-	return message, total, nil
+	message, err = decodeFrame(data)
+	return message, total, err
 }
 
 // readBody reads size bytes into a buffer that grows with the received bytes. Allocating by
 // the stated length alone would let a few connections exhaust the node's memory.
-func readBody(in io.Reader, size int64) ([]byte, error) {
-	body := bytes.NewBuffer(make([]byte, 0, min(size, initialBuffer)))
-	n, err := io.CopyN(body, in, size)
-	if n < size && errors.Is(err, io.EOF) {
-		return nil, io.ErrUnexpectedEOF
+func readBody(in io.Reader, size int64, message *bfresource.Request) ([]byte, error) {
+	body, err := bfresource.ReadAll(io.LimitReader(in, size), size, message)
+	if err == nil && int64(len(body)) < size {
+		err = io.ErrUnexpectedEOF
+	}
+	return body, err
+}
+
+// decodedBytes returns what decoding a frame takes: the decompressed message and its parsed form.
+func decodedBytes(data []byte) int64 {
+	size := int64(len(data))
+	if data[0] == compressedMark {
+		size = maxMessage
+		var header zstd.Header
+		if err := header.Decode(data[1:]); err == nil && header.HasFCS {
+			size = int64(min(header.FrameContentSize, maxMessage))
+		}
 	}
-	return body.Bytes(), err
+	return 2 * size
 }
 
 func decodeFrame(data []byte) (jsonrpc2.Message, error) {
--- a/lib/bfpeer/hostile_test.go
+++ b/lib/bfpeer/hostile_test.go
@@ -106,7 +106,7 @@
 func TestLengthAloneAllocatesLittle(t *testing.T) {
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	_, err := readBody(strings.NewReader("x"), maxMessage)
+	_, err := readBody(strings.NewReader("x"), maxMessage, nil)
 	runtime.ReadMemStats(&after)
 	is := is.New(t)
 	is.True(errors.Is(err, io.ErrUnexpectedEOF))
--- a/lib/bfpeer/stream.go
+++ b/lib/bfpeer/stream.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/exp/jsonrpc2"
+
+	"bilberryflow.org/lib/bfresource"
 )
 
 const (
@@ -32,6 +34,14 @@
 	return &stream{Conn: conn, idle: idle, stopClose: context.AfterFunc(ctx, func() { conn.Close() })}
 }
 
+// held returns what the process holds for an accepted connection, nil for others.
+func (s *stream) held() *bfresource.Conn {
+	if accepted, ok := s.Conn.(*bfresource.Accepted); ok {
+		return accepted.Held()
+	}
+	return nil
+}
+
 // Close closes the connection and releases its AfterFunc, which would otherwise keep the
 // connection in memory until the context ends.
 func (s *stream) Close() error {
