The runtime collects garbage sooner near the machine's limit

Cause: beside what is held, the heap may grow to twice of what is in use before garbage is collected, whatever the machine has. The process sets the runtime's soft limit to three quarters of its memory, unless GOMEMLIMIT is set, and the buffers of targets' answers get a quarter of the clients' memory instead of 16 MB on every machine. TestCrowdOfOneIsServed passes as before.

--- a/bfnode/internal/bfcommand/command.go
+++ b/bfnode/internal/bfcommand/command.go
@@ -10,6 +10,7 @@
 
 	"bilberryflow.org/bfnode/internal/bfmesh"
 	"bilberryflow.org/lib/bfannounce"
+	"bilberryflow.org/lib/bfanswer"
 	"bilberryflow.org/lib/bfcaller"
 	"bilberryflow.org/lib/bflog"
 	"bilberryflow.org/lib/bfprogram"
@@ -31,6 +32,9 @@
 }
 
 func build(settings Settings, logger *bflog.Logger) (bfprogram.App, error) {
+	limits := settings.limits()
+	limits.LimitRuntime()
+	bfanswer.LimitBuffers(limits.AnswerMemory())
 	if settings.Mesh != nil {
 		return bfmesh.Build(settings.commonSettings(), *settings.Mesh, logger)
 	}
