--- a/bfnode/internal/bfcommand/command.go
+++ b/bfnode/internal/bfcommand/command.go
@@ -105,6 +105,7 @@
 	n.group.Go("calls", func(ctx context.Context) error { return n.calls.Serve(ctx, n.peers) })
 	n.group.Go("control", n.control.Run)
 	n.group.Go("rumor", n.rumor.Run)
+	n.budget.Watch(n.timer, n.logger)
 	n.timer.Every(func() time.Duration { return bfannounce.Heartbeat / 2 }, n.guard.Observe)
 	n.timer.Every(func() time.Duration { return sweepInterval }, n.sweep)
 	n.timer.Every(n.timer.Jittered(bfcaller.WarmUpInterval, warmUpSpread), n.entry.WarmUp)
--- a/bfnode/internal/bfcommand/node.go
+++ b/bfnode/internal/bfcommand/node.go
@@ -76,6 +76,7 @@
 		limits:     settings.limits(),
 	}
 	n.budget = bfresource.New(n.limits)
+	n.budget.Publish(n.metrics)
 	n.metrics.Publish("node")
 	n.metrics.Gauge("goroutines_in_group", n.group.Running)
 	n.platform = bftable.New(settings.Platform.Address, settings.Platform.Timeout.Std(), n.metrics)
--- a/bfnode/internal/bfmesh/metrics.go
+++ b/bfnode/internal/bfmesh/metrics.go
@@ -1,20 +1,15 @@
 package bfmesh
 
-import (
-	"sync/atomic"
-	"time"
-)
-
 // publishMetrics registers the gauges of the node's state and its age. The components
 // register their own counters and histograms.
 func (n *node) publishMetrics() {
 	gauge := n.metrics.Gauge
 	gauge("config_version_in_force", func() int64 { return int64(n.traffic.Version()) })
-	gauge("config_since_ms", ageMs(&n.state.versionAdopted))
+	gauge("config_since_ms", n.state.versionAdopted.AgeMs)
 	gauge("members", func() int64 { return int64(n.fleet.Size()) })
 	gauge("members_lost", func() int64 { return int64(n.fleet.Lost()) })
 	gauge("members_revision", func() int64 { return int64(n.state.Revision()) })
-	gauge("members_since_ms", ageMs(&n.state.membersUpdated))
+	gauge("members_since_ms", n.state.membersUpdated.AgeMs)
 	gauge("link_reserved_ms", func() int64 { return n.pacer.Reserved().Milliseconds() })
 	gauge("link_refused", n.pacer.Refused)
 	gauge("departures_unrecorded", func() int64 { return boolToInt(!n.departures.InSync()) })
@@ -26,6 +21,7 @@
 	gauge("target_connections", n.targets.Opened)
 	gauge("target_answers_discarded", n.targets.Discarded)
 	gauge("target_connections_for_repeats", n.targets.Avoided)
+	n.budget.Publish(n.metrics)
 	gauge("requests_active", n.entry.Active)
 	gauge("link_backlog_ms", func() int64 { return n.pacer.Backlog().Milliseconds() })
 	gauge("quarantine_contents", func() int64 { return int64(n.quarantine.View().Len()) })
@@ -34,26 +30,6 @@
 	gauge("log_lines_dropped", n.logger.Dropped)
 }
 
-// timestamp is the time of the last occurrence of an event. It keeps the monotonic
-// reading, since the wall clock may jump.
-type timestamp struct{ at atomic.Pointer[time.Time] }
-
-func (m *timestamp) set() {
-	now := time.Now()
-	m.at.Store(&now)
-}
-
-// ageMs returns a gauge of the milliseconds since a timestamp, -1 if it was never set.
-func ageMs(m *timestamp) func() int64 {
-	return func() int64 {
-		at := m.at.Load()
-		if at == nil {
-			return -1
-		}
-		return time.Since(*at).Milliseconds()
-	}
-}
-
 func boolToInt(b bool) int64 {
 	if b {
 		return 1
--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -363,6 +363,7 @@
 	n.group.Go("roll-outs", n.conductor.Run)
 	n.runQuotas()
 	n.timer.Every(func() time.Duration { return sweepInterval }, n.sweep)
+	n.budget.Watch(n.timer, n.logger)
 	n.freshness.watch(n.timer, n.metrics)
 	n.metrics.Gauge("process_stalls", bfstall.Watch(n.timer, n.logger).Stalls)
 	return n.group.Wait()
--- a/bfnode/internal/bfmesh/state.go
+++ b/bfnode/internal/bfmesh/state.go
@@ -10,6 +10,7 @@
 	"bilberryflow.org/lib/bffollow"
 	"bilberryflow.org/lib/bfinspect"
 	"bilberryflow.org/lib/bflog"
+	"bilberryflow.org/lib/bfmetric"
 	"bilberryflow.org/lib/bfnews"
 	"bilberryflow.org/lib/bfpresence"
 	"bilberryflow.org/lib/bfrollout"
@@ -49,7 +50,7 @@
 	// rejected is the newest rejected version, nil once a newer one is in force.
 	rejected atomic.Pointer[bfinspect.RejectedVersion]
 	// versionAdopted and membersUpdated are the times of the last update of each.
-	versionAdopted, membersUpdated timestamp
+	versionAdopted, membersUpdated bfmetric.Timestamp
 
 	mu sync.Mutex
 	// revision is the store's revision as of which the members are known; confirmedAsOf is
@@ -140,7 +141,7 @@
 	if !s.traffic.Adopt(snapshot) {
 		return
 	}
-	s.versionAdopted.set()
+	s.versionAdopted.Set()
 	if rejected := s.rejected.Load(); rejected != nil && rejected.Version < snapshot.Version() {
 		s.rejected.CompareAndSwap(rejected, nil)
 	}
@@ -178,7 +179,7 @@
 	s.mu.Lock()
 	if batch.Revision >= s.revision {
 		s.revision = batch.Revision
-		s.membersUpdated.set()
+		s.membersUpdated.Set()
 		if batch.Full {
 			s.fleet.Replace(s.withUnwritten(members, batch.Revision))
 		} else {
@@ -280,7 +281,7 @@
 		return
 	}
 	s.revision = revision
-	s.membersUpdated.set()
+	s.membersUpdated.Set()
 	apply()
 	s.mu.Unlock()
 	s.changed()
--- a/lib/bfentry/handler.go
+++ b/lib/bfentry/handler.go
@@ -175,25 +175,19 @@
 		c.setIdentity(id)
 	}
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
-		return
-	}
-	var exhausted *bfresource.ExhaustedError
-	if errors.As(err, &exhausted) {
+	case bfresource.IsExhausted(err):
 		refuse(w, bfresource.RetryAfter)
-		return
-	}
-	if err != nil {
+	case err != nil:
 		// The body ended early: the caller disconnected.
 		http.Error(w, "unreadable request: "+err.Error(), http.StatusBadRequest)
-		return
-	}
-	if c.mayOutlastExit(now) {
+	case c.mayOutlastExit(now):
 		refuse(w, leavingRetryAfter)
-		return
+	default:
+		h.serve(w, r, c)
 	}
-	h.serve(w, r, c)
 }
 
 // mayOutlastExit reports whether the request may run past the exit of a stopping node. Such a
--- a/lib/bfhop/body.go
+++ b/lib/bfhop/body.go
@@ -38,9 +38,8 @@
 	}
 	body, err := bfresource.ReadAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, bfresource.FromContext(r.Context()))
 	var over *http.MaxBytesError
-	var exhausted *bfresource.ExhaustedError
 	switch {
-	case errors.As(err, &exhausted):
+	case bfresource.IsExhausted(err):
 		return nil, &BodyError{Exhausted: true, Reason: err.Error()}
 	case errors.As(err, &over):
 		return nil, tooLarge(limit)
--- a/lib/bfhost/inbound.go
+++ b/lib/bfhost/inbound.go
@@ -1,7 +1,6 @@
 package bfhost
 
 import (
-	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -36,8 +35,7 @@
 	defer i.host.inProgress.Add(-1)
 	holdsBack := r.Header.Get(bfheader.GoAhead) != ""
 	job, err := i.read(r)
-	var exhausted *bfresource.ExhaustedError
-	if errors.As(err, &exhausted) {
+	if bfresource.IsExhausted(err) {
 		w.Header().Set("Connection", "close")
 		i.RefuseExhausted(w, r)
 		return
--- a/lib/bflog/events.go
+++ b/lib/bflog/events.go
@@ -116,6 +116,8 @@
 	DeparturesAdvised      = declare(3115, slog.LevelInfo, "other nodes asked for departures, the store did not answer", "Nothing; departures is the number that they kept.")
 	DepartureRecorded      = declare(3113, slog.LevelInfo, "departure recorded in the store", "Nothing; it is acknowledged now.")
 	DeparturesUnrecorded   = declare(3114, slog.LevelWarn, "departures could not be read or recorded", "Nothing; it is retried. Departures of the target are not acknowledged until then, and it receives no requests. After a restart a target is used once it answers that it accepts requests (4125).")
+	ClientsRefused         = declare(4130, slog.LevelWarn, "clients refused or closed, they take more than the machine has for them", "Look for clients that hold many connections, or stop before the end of their requests. The counters client_* have the totals; the settings machine and clients hold the limits.")
+	TransfersEnded         = declare(4131, slog.LevelWarn, "slow clients ended, others waited for their target", "Look for clients that stop within a body, or don't read their answers; the settings clients.bodyRate, bodyPause and answerPause hold the limits.")
 	FrameInvalid           = declare(4123, slog.LevelWarn, "connection from another node closed, invalid frame", "Find out which program sends to the inbound port, or which release the other node is of.")
 	Announced              = declare(3102, slog.LevelInfo, "this node's row written or removed", "Nothing.")
 	AnnounceError          = declare(3103, slog.LevelWarn, "this node's row could not be written", "Nothing; it is retried. Other nodes may not discover this node until then.")
--- a/lib/bfresource/budget.go
+++ b/lib/bfresource/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -38,6 +39,12 @@
 	return fmt.Sprintf("too little memory for clients: %d bytes asked for", e.Bytes)
 }
 
+// IsExhausted reports whether err is an *ExhaustedError.
+func IsExhausted(err error) bool {
+	var exhausted *ExhaustedError
+	return errors.As(err, &exhausted)
+}
+
 // RetryAfter is when a request that got no memory may be sent again: what arrives slowly is given up by then.
 const RetryAfter = 2 * slowAfter
 
--- a/lib/bfresource/budget_test.go
+++ b/lib/bfresource/budget_test.go
@@ -51,11 +51,6 @@
 	return c.request.Charge(bytes)
 }
 
-func isExhausted(err error) bool {
-	var exhausted *ExhaustedError
-	return errors.As(err, &exhausted)
-}
-
 const each = connectionBytes + requestBytes
 
 // Guards against small requests that are given up for the memory that a large one holds, and against giving
@@ -73,8 +68,8 @@
 	is.NoErr(ordinary.send(9000))
 	is.True(large.givenUp)
 	is.True(!small.givenUp && !fresh.givenUp)
-	is.True(isExhausted(large.request.GivenUp()))
-	is.True(isExhausted(large.request.Charge(1)))
+	is.True(IsExhausted(large.request.GivenUp()))
+	is.True(IsExhausted(large.request.Charge(1)))
 }
 
 // Guards against requests that lose their memory although they have arrived, and against new ones that get
@@ -87,7 +82,7 @@
 	is.NoErr(complete.send(30_000))
 	complete.request.Arrived()
 	now.advance(time.Minute)
-	is.True(isExhausted(next.send(1000)))
+	is.True(IsExhausted(next.send(1000)))
 	is.True(!complete.givenUp)
 	is.Equal(b.Counts().RequestsRefused, int64(1))
 	complete.request.End()
@@ -104,7 +99,7 @@
 	is.NoErr(small.send(1000))
 	is.NoErr(large.send(20_000))
 	now.advance(time.Second)
-	is.True(isExhausted(large.request.Charge(20_000)))
+	is.True(IsExhausted(large.request.Charge(20_000)))
 	is.True(!small.givenUp)
 }
 
@@ -123,7 +118,7 @@
 	is.True(!idle.closed)
 	is.NoErr(ordinary.request.Charge(connectionBytes))
 	is.True(idle.closed)
-	is.True(isExhausted(ordinary.request.Charge(connectionBytes)))
+	is.True(IsExhausted(ordinary.request.Charge(connectionBytes)))
 }
 
 // Guards against a port that takes no connections while it has idle or slow ones, or more than its limit.
@@ -241,7 +236,7 @@
 	is.Equal(string(read), "x")
 	is.Equal(c.request.held-before, int64(firstBytes))
 	_, err = ReadAll(strings.NewReader(strings.Repeat("x", 1<<20)), -1, c.request)
-	is.True(isExhausted(err))
+	is.True(IsExhausted(err))
 }
 
 // Guards against bodies that ReadAll changes.
