A body that doesn't arrive gives its target's slot to requests that wait

What callers saw: twenty uploads of 60 MB that stopped a byte short of their end kept the slots of all targets, and a third of the ordinary requests were turned away; clients that don't read long answers did the same. Cause: a long body is passed on while it arrives, and an answer while it is read, and nothing but the deadline ended either. bftransfer tracks the requests that occupy a target while their client is to act. If the target is full, a body that arrives slower than 16 KB/s, or pauses for half a second, and an answer of which no piece is read for two seconds, are ended, the latest first: when a request arrives, and every 100 ms for those that wait. Where nobody waits, slow clients are left alone. The connection to the target is closed, so that the target's own slot is free, and the client gets 502 or a cut answer, never a promise: its target may have begun. The loss doesn't count against the target.

--- a/bfnode/internal/bfcommand/settings.go
+++ b/bfnode/internal/bfcommand/settings.go
@@ -84,7 +84,7 @@
 	s.Seeds = []string{"127.0.0.1:7813"}
 	s.Operators = []bfoperator.Token{{Name: "anna", Secret: "change-this-secret"}}
 	s.Machine = bfresource.Machine{MemoryMB: 284, Descriptors: 4100}
-	s.Clients = bfresource.Clients{MemoryShare: 0.4, ConnectionShare: 0.5, BodyRate: 16384, BodyPause: bfsettings.Duration(500 * time.Millisecond)}
+	s.Clients = bfresource.Clients{MemoryShare: 0.4, ConnectionShare: 0.5, BodyRate: 16384, BodyPause: bfsettings.Duration(500 * time.Millisecond), AnswerPause: bfsettings.Duration(2 * time.Second)}
 	mesh := bfmesh.Example()
 	s.Mesh = &mesh
 	return s
--- a/bfnode/internal/bfmesh/metrics.go
+++ b/bfnode/internal/bfmesh/metrics.go
@@ -21,6 +21,7 @@
 	gauge("target_connections", n.targets.Opened)
 	gauge("target_answers_discarded", n.targets.Discarded)
 	gauge("target_connections_for_repeats", n.targets.Avoided)
+	gauge("target_transfers_ended", n.host.TransfersEnded)
 	n.budget.Publish(n.metrics)
 	gauge("requests_active", n.entry.Active)
 	gauge("link_backlog_ms", func() int64 { return n.pacer.Backlog().Milliseconds() })
--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -47,6 +47,7 @@
 	"bilberryflow.org/lib/bfstore"
 	"bilberryflow.org/lib/bftimer"
 	"bilberryflow.org/lib/bftraffic"
+	"bilberryflow.org/lib/bftransfer"
 	"bilberryflow.org/platform/bfdialect"
 )
 
@@ -150,6 +151,7 @@
 		Service: common.Service, Names: names, Client: n.targets, Timer: n.timer, Account: account,
 		AwaitDepartures: !settings.FirstStart, Departed: func(all []bflifecycle.Departure) { n.departures.Record(all) },
 		Changed: n.targetChanged, HeartbeatIgnored: n.logIgnoredHeartbeat, HealthPath: n.healthPath, Spawn: n.group.Go, Verified: n.logVerification, Quarantine: n.quarantine, Crashed: n.targetCrashed, AdmitsVersion: n.admitsVersion, LimitChanged: n.limitChanged, LearnsRoom: settings.LearnRoom,
+		Transfers: bftransfer.Terms{BodyRate: common.Limits.BodyRate, BodyPause: common.Limits.BodyPause, AnswerPause: common.Limits.AnswerPause},
 	})
 	n.freshness = newFreshness(settings.Revocation, clock, n.current, logger)
 	n.quotas = n.newQuotas()
@@ -363,6 +365,7 @@
 	n.group.Go("roll-outs", n.conductor.Run)
 	n.runQuotas()
 	n.timer.Every(func() time.Duration { return sweepInterval }, n.sweep)
+	n.host.WatchTransfers(func(count int64) { n.logger.Emit(bflog.TransfersEnded, slog.Int64("requests", count)) })
 	n.budget.Watch(n.timer, n.logger)
 	n.freshness.watch(n.timer, n.metrics)
 	n.metrics.Gauge("process_stalls", bfstall.Watch(n.timer, n.logger).Stalls)
--- a/lib/bfanswer/answer.go
+++ b/lib/bfanswer/answer.go
@@ -9,6 +9,7 @@
 	"bilberryflow.org/lib/bfexchange"
 	"bilberryflow.org/lib/bflimit"
 	"bilberryflow.org/lib/bfpacer"
+	"bilberryflow.org/lib/bftransfer"
 )
 
 // Answer is a target's answer. Its user must call Close.
@@ -27,6 +28,8 @@
 	Reservation *bfpacer.Reservation
 	// Leaving is the start of the target that says in this answer that it leaves, zero for none.
 	Leaving bflimit.Start
+	// Transfer tracks whether the client reads the answer, nil for no tracking.
+	Transfer *bftransfer.Transfer
 	// Done is called once, by Close.
 	Done func()
 }
--- a/lib/bfanswer/relay.go
+++ b/lib/bfanswer/relay.go
@@ -4,8 +4,10 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"bilberryflow.org/lib/bfpacer"
+	"bilberryflow.org/lib/bftransfer"
 )
 
 // relayBufferBytes is the size of the buffer through which the rest of an answer is copied.
@@ -28,6 +30,9 @@
 	}
 	w.WriteHeader(answer.Status)
 	var to io.Writer = writerOnly{w}
+	if answer.Rest != nil && answer.Transfer != nil {
+		to = watchedWriter{w, answer.Transfer}
+	}
 	if pacer.Paces(answer.Length) {
 		paced := pacer.BeginReserved(answer.Length, answer.Reservation)
 		defer paced.End()
@@ -45,5 +50,21 @@
 	return int64(len(answer.Head)) + rest
 }
 
+// watchedWriter marks that the client is to read while a write waits for it.
+type watchedWriter struct {
+	to       http.ResponseWriter
+	transfer *bftransfer.Transfer
+}
+
+// Write writes p. It fails if the transfer is ended meanwhile.
+func (w watchedWriter) Write(p []byte) (int, error) {
+	w.transfer.AwaitReader(func() {
+		// Only the recorders of tests don't support deadlines.
+		_ = http.NewResponseController(w.to).SetWriteDeadline(time.Unix(1, 0))
+	})
+	defer w.transfer.Rest()
+	return w.to.Write(p)
+}
+
 // writerOnly hides the ResponseWriter's ReadFrom, so that io.CopyBuffer uses its own buffer.
 type writerOnly struct{ io.Writer }
--- a/lib/bfexchange/request.go
+++ b/lib/bfexchange/request.go
@@ -30,6 +30,9 @@
 	Length int64
 	// Sending is called once there is a connection, before the first byte is sent; nil is allowed.
 	Sending func()
+	// Received is called with the bytes of the remainder as they arrive, and with err once it has ended; nil is
+	// allowed.
+	Received func(bytes int, err error)
 }
 
 // Resendable reports whether an attempt can send the whole body.
--- a/lib/bfexchange/upload.go
+++ b/lib/bfexchange/upload.go
@@ -24,6 +24,8 @@
 type upload struct {
 	// loan is the right to read the remainder, nil if there is none.
 	loan *loan
+	// received is that of the request.
+	received func(bytes int, err error)
 	// goAhead is closed once the remainder may be sent, stopped once it is no longer wanted.
 	goAhead, stopped         chan struct{}
 	goAheadOnce, stoppedOnce sync.Once
@@ -89,7 +91,11 @@
 	if err := u.await(); err != nil {
 		return 0, err
 	}
-	return u.loan.Read(p)
+	n, err := u.loan.Read(p)
+	if u.received != nil {
+		u.received(n, err)
+	}
+	return n, err
 }
 
 // await waits until the remainder may be sent.
@@ -119,7 +125,7 @@
 		if err != nil {
 			return nil, &NotSentError{Address: k.address, Reason: err}
 		}
-		u := &upload{loan: loan, goAhead: make(chan struct{}), stopped: make(chan struct{}), finished: make(chan struct{})}
+		u := &upload{loan: loan, received: request.Received, goAhead: make(chan struct{}), stopped: make(chan struct{}), finished: make(chan struct{})}
 		if len(request.Header[bfheader.GoAhead]) == 0 {
 			u.proceed()
 		}
--- a/lib/bfhost/host.go
+++ b/lib/bfhost/host.go
@@ -20,6 +20,7 @@
 	"bilberryflow.org/lib/bfquarantine"
 	"bilberryflow.org/lib/bfslot"
 	"bilberryflow.org/lib/bftimer"
+	"bilberryflow.org/lib/bftransfer"
 )
 
 // Config holds the dependencies of a Host.
@@ -55,6 +56,8 @@
 	LearnsRoom bool
 	// Crashed is called after a crash of the target; nil is allowed.
 	Crashed func(bfflight.Crash)
+	// Transfers bounds how slow clients may be that occupy the target while others wait for it.
+	Transfers bftransfer.Terms
 	// LimitChanged is called when the target names another limit or none; nil is allowed.
 	LimitChanged func(LimitChange)
 }
@@ -82,6 +85,8 @@
 	// runs holds the requests in progress at the target.
 	runs    bfnested.Runs
 	flights *bfflight.Tracker
+	// transfers are the requests that occupy the target.
+	transfers *bftransfer.Set
 }
 
 // New makes a Host without a target.
@@ -96,6 +101,8 @@
 		config:  config,
 		gate:    bfslot.New(config.Timer),
 		tracker: bflifecycle.NewTracker(config.Service),
+
+		transfers: bftransfer.NewSet(config.Transfers, config.Timer.Now),
 	}
 	if config.AwaitDepartures {
 		h.tracker.AwaitDepartures()
@@ -179,6 +186,7 @@
 // runPermitted sends a job that the target's limit allows, once a slot is free; sent is false if it
 // did not reach the point of sending.
 func (h *Host) runPermitted(ctx context.Context, job Job, request bfquarantine.Request, arrived time.Time) (result Result, sent bool) {
+	h.endLateTransfers(ctx)
 	slot, err := h.gate.Acquire(ctx, bfslot.Request{
 		Class: job.Policy.Class, Workspace: job.Policy.Workspace, Nested: job.Policy.Nested, Late: job.Policy.Late, MayProbe: job.mayProbe(), Rank: job.Policy.Rank, MaxWait: job.Policy.MaxSlotWait,
 	})
@@ -208,10 +216,12 @@
 		return Refused{Reason: OverBudget}, false
 	}
 	h.beginRun(job, run)
-	result = h.sendToTarget(ctx, job, dispatch{target, flight, slot}, func() {
+	transfer := h.transfers.Begin()
+	result = h.sendToTarget(ctx, job, dispatch{target, flight, slot, transfer}, func() {
 		h.endRun(job, run)
 		flight.End()
 		slot.Release()
+		transfer.Done()
 	})
 	if ctx.Err() == nil || !job.Policy.Repeatable {
 		// A cancelled request is no failure of the target.
@@ -250,6 +260,8 @@
 	target *bflifecycle.Target
 	flight *bfflight.Flight
 	slot   *bfslot.Slot
+	// transfer tracks whether the client sends the body and reads the answer.
+	transfer *bftransfer.Transfer
 }
 
 // answerMargin is the extra wait for an answer after the deadline: a target that answers
@@ -274,6 +286,7 @@
 		cancel()
 		done()
 	}
+	trackBody(job.Request, to.transfer, cancel)
 	header := job.Request.Header
 	header[h.config.Names.Deadline] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
 	header[h.config.Names.ExpectTarget] = []string{to.target.Incarnation()}
@@ -303,6 +316,9 @@
 
 // lost is the result of a request whose answer did not arrive.
 func (h *Host) lost(ctx context.Context, err error, job Job, to dispatch) Result {
+	if to.transfer.WasLate() {
+		return Lost{Reason: "body arrived too slowly while other requests waited", UnderLoad: true}
+	}
 	if !h.config.Timer.Now().Before(job.Deadline) {
 		if lost := new(bfexchange.LostError); errors.As(err, &lost) && lost.Begun {
 			// A target that sends without end fails its requests, unlike one that is slow.
@@ -337,6 +353,7 @@
 		}
 		return h.lost(ctx, err, job, to)
 	}
+	answer.Transfer = to.transfer
 	h.watchEnd(ctx, answer)
 	if h.saysLeaving(from.Header()) {
 		answer.Leaving = to.target.Start()
--- a/lib/bfhost/job.go
+++ b/lib/bfhost/job.go
@@ -125,7 +125,8 @@
 // Lost means that the request was sent and no complete answer arrived: it may have run.
 type Lost struct {
 	Reason string
-	// UnderLoad is set if the target resets connections when it is full, and was.
+	// UnderLoad is set if the loss does not speak against the target: it resets connections when it is full, and
+	// was, or the client was too slow while others waited.
 	UnderLoad bool
 }
 
--- a/lib/bfpipeline/exchange.go
+++ b/lib/bfpipeline/exchange.go
@@ -11,6 +11,7 @@
 	"runtime/debug"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/net/http/httpguts"
@@ -21,7 +22,7 @@
 
 // exchange is a request and its answer; it is the handler's http.ResponseWriter.
 //
-// Except for its channels it is used only by the handler's goroutine.
+// Except for its channels and SetWriteDeadline it is used only by the handler's goroutine.
 type exchange struct {
 	connection *connection
 	request    *http.Request
@@ -52,8 +53,8 @@
 	remaining int64
 	// writeErr is why nothing more can be written.
 	writeErr error
-	// bounded is set if the connection has a write deadline.
-	bounded bool
+	// bounded is set if the connection has a write deadline. Another goroutine may set one, to end the answer.
+	bounded atomic.Bool
 }
 
 func newExchange(c *connection, request *http.Request, handler http.Handler) *exchange {
@@ -141,7 +142,7 @@
 	if e.turn != nil {
 		<-e.turn
 	}
-	if e.bounded {
+	if e.bounded.Load() {
 		// An error means that the connection is broken.
 		_ = e.connection.conn.SetWriteDeadline(time.Time{})
 	}
@@ -193,7 +194,7 @@
 	if !e.awaitTurn() {
 		return http.ErrAbortHandler
 	}
-	e.bounded = true
+	e.bounded.Store(true)
 	return e.connection.conn.SetWriteDeadline(deadline)
 }
 
--- a/lib/bfresource/settings.go
+++ b/lib/bfresource/settings.go
@@ -24,6 +24,7 @@
 	ConnectionShare float64             `json:"connectionShare,omitempty" jsonschema:"minimum=0,maximum=0.6,description=Share of the descriptors for callers' connections; by default 0.5."`
 	BodyRate        int                 `json:"bodyRate,omitempty" jsonschema:"minimum=0,maximum=1000000000,description=Bytes per second at which a body must arrive that occupies its target while other requests wait for it; by default 16384."`
 	BodyPause       bfsettings.Duration `json:"bodyPause,omitempty" jsonschema:"description=Time for which such a body may pause; by default 500ms."`
+	AnswerPause     bfsettings.Duration `json:"answerPause,omitempty" jsonschema:"description=Time that a client may take to read a piece of a long answer while other requests wait for its target; by default 2s."`
 }
 
 // Defaults of Clients.
@@ -32,6 +33,7 @@
 	defaultConnectionShare = 0.5
 	defaultBodyRate        = 16 << 10
 	defaultBodyPause       = 500 * time.Millisecond
+	defaultAnswerPause     = 2 * time.Second
 )
 
 const megabyte = 1_000_000
@@ -41,7 +43,7 @@
 	l := Limits{
 		MachineMemory: int64(machine.MemoryMB * megabyte), Descriptors: machine.Descriptors,
 		MemoryShare: clients.MemoryShare, ConnectionShare: clients.ConnectionShare,
-		BodyRate: clients.BodyRate, BodyPause: clients.BodyPause.Std(),
+		BodyRate: clients.BodyRate, BodyPause: clients.BodyPause.Std(), AnswerPause: clients.AnswerPause.Std(),
 	}
 	if l.MachineMemory <= 0 {
 		l.MachineMemory = systemMemory()
@@ -61,6 +63,9 @@
 	if l.BodyPause <= 0 {
 		l.BodyPause = defaultBodyPause
 	}
+	if l.AnswerPause <= 0 {
+		l.AnswerPause = defaultAnswerPause
+	}
 	return l
 }
 
@@ -73,8 +78,8 @@
 	// MemoryShare and ConnectionShare are the shares for all clients and for callers' connections.
 	MemoryShare, ConnectionShare float64
 	// BodyRate is in bytes per second.
-	BodyRate  int
-	BodyPause time.Duration
+	BodyRate               int
+	BodyPause, AnswerPause time.Duration
 }
 
 const (
