Connections to nodes and targets have their share of the descriptors

If none is idle, the request is refused as for a full target: the peer may be well and is not suspended.

--- a/bfnode/internal/bfmesh/metrics.go
+++ b/bfnode/internal/bfmesh/metrics.go
@@ -19,6 +19,8 @@
 	gauge("slots_used_or_waited_for", func() int64 { used, _ := n.host.Load(); return int64(used) })
 	gauge("target_requests", n.host.Sends)
 	gauge("target_connections", n.targets.Opened)
+	gauge("target_connections_open", n.targets.Open)
+	gauge("node_connections_open", n.nodes.Open)
 	gauge("target_answers_discarded", n.targets.Discarded)
 	gauge("target_connections_for_repeats", n.targets.Avoided)
 	gauge("target_transfers_ended", n.host.TransfersEnded)
--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -145,8 +145,8 @@
 	n.pacer = bfpacer.New(n.timer, settings.LinkMbps)
 	account := n.account()
 	names := bfdialect.Headers()
-	n.targets = bfexchange.New(bfexchange.Options{IDHeader: names.RequestID, DialTimeout: dialTimeout, DefaultIdleTimeout: targetIdleTimeout})
-	n.nodes = bfexchange.New(bfexchange.Options{DialTimeout: dialTimeout, DefaultIdleTimeout: nodeIdleTimeout, Wrap: n.wrap})
+	n.targets = bfexchange.New(bfexchange.Options{IDHeader: names.RequestID, DialTimeout: dialTimeout, DefaultIdleTimeout: targetIdleTimeout, MaxOpen: common.Limits.TargetConnections()})
+	n.nodes = bfexchange.New(bfexchange.Options{DialTimeout: dialTimeout, DefaultIdleTimeout: nodeIdleTimeout, MaxOpen: common.Limits.ForwardConnections(), Wrap: n.wrap})
 	n.host = bfhost.New(bfhost.Config{
 		Service: common.Service, Names: names, Client: n.targets, Timer: n.timer, Account: account,
 		AwaitDepartures: !settings.FirstStart, Departed: func(all []bflifecycle.Departure) { n.departures.Record(all) },
--- a/lib/bfentry/remote.go
+++ b/lib/bfentry/remote.go
@@ -41,7 +41,7 @@
 	var notSent *bfexchange.NotSentError
 	switch {
 	case errors.As(err, &notSent) && c.request.Resendable():
-		return bfhost.Refused{Reason: bfhost.Unreachable, Err: err}
+		return bfhost.NewUnsent(err)
 	case err != nil && !config.Timer.Now().Before(c.deadline):
 		c.handler.prober.CheckSilence(target, sent)
 		return bfhost.Expired{Sent: true}
--- a/lib/bfexchange/pool.go
+++ b/lib/bfexchange/pool.go
@@ -21,6 +21,8 @@
 	// DefaultIdleTimeout is how long an idle connection is kept if the peer does not send a
 	// Keep-Alive timeout.
 	DefaultIdleTimeout time.Duration
+	// MaxOpen bounds the open connections to all addresses, 0 for no bound.
+	MaxOpen int
 	// Wrap wraps each new connection to an address; nil means no wrapping.
 	Wrap func(address string, c net.Conn) net.Conn
 }
@@ -42,6 +44,9 @@
 	options Options
 	dialer  net.Dialer
 
+	// open is the number of open connections.
+	open atomic.Int64
+
 	mu   sync.Mutex
 	idle map[string][]*conn
 
@@ -92,6 +97,9 @@
 // conn is a connection, used by one request at a time.
 type conn struct {
 	net.Conn
+	closeOnce sync.Once
+	// closed is called once, when the connection is closed.
+	closed  func()
 	address string
 	source  *headReader
 	reader  *bufio.Reader
@@ -132,8 +140,12 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
+	if err := c.reserve(); err != nil {
+		return nil, err
+	}
 	opened, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
+		c.release()
 		return nil, err
 	}
 	c.opened.Add(1)
@@ -141,7 +153,7 @@
 		opened = c.options.Wrap(address, opened)
 	}
 	source := &headReader{conn: opened}
-	return &conn{Conn: opened, address: address, source: source, reader: bufio.NewReader(source), idleTimeout: c.options.DefaultIdleTimeout}, nil
+	return &conn{Conn: opened, closed: c.release, address: address, source: source, reader: bufio.NewReader(source), idleTimeout: c.options.DefaultIdleTimeout}, nil
 }
 
 // get returns a connection to address that has not carried the request before, pooled or new.
--- a/lib/bfhost/host.go
+++ b/lib/bfhost/host.go
@@ -300,7 +300,7 @@
 		if !job.Request.Resendable() {
 			return Lost{Reason: err.Error()}
 		}
-		return Refused{Reason: Unreachable, Err: err}
+		return NewUnsent(err)
 	case err != nil:
 		defer finish()
 		return h.lost(ctx, err, job, to)
--- a/lib/bfhost/job.go
+++ b/lib/bfhost/job.go
@@ -7,6 +7,7 @@
 	"bilberryflow.org/lib/bfbudget"
 	"bilberryflow.org/lib/bfexchange"
 	"bilberryflow.org/lib/bflimit"
+	"bilberryflow.org/lib/bfresource"
 )
 
 // Job is one request for the target, with its deadline and policy.
@@ -112,6 +113,15 @@
 	Err error
 }
 
+// NewUnsent returns the refusal of a request of which no byte was sent, for err. A process without a connection
+// left says nothing of the other side.
+func NewUnsent(err error) Refused {
+	if bfexchange.IsOutOfConnections(err) {
+		return Refused{Reason: Full, RetryAfter: bfresource.RetryAfter}
+	}
+	return Refused{Reason: Unreachable, Err: err}
+}
+
 // Answered carries the target's answer.
 type Answered struct{ Answer *bfanswer.Answer }
 
--- a/lib/bfresource/settings.go
+++ b/lib/bfresource/settings.go
@@ -127,8 +127,11 @@
 	targetShare  = 0.1
 )
 
-// connections returns a number of connections.
+// connections returns a number of connections, 0 without limits.
 func (l Limits) connections(share float64) int {
+	if l == (Limits{}) {
+		return 0
+	}
 	usable := l.Descriptors - l.Descriptors/fileParts - ownDescriptors
 	return max(int(share*float64(usable)), minConnections)
 }
