--- a/lib/bfpipeline/body.go
+++ b/lib/bfpipeline/body.go
@@ -32,6 +32,10 @@
 	}
 	n, err := b.from.Read(p)
 	if err != nil {
+		if !errors.Is(err, io.EOF) {
+			// What follows is not the next request but the rest of this one.
+			b.exchange.connection.closeAfterNewest()
+		}
 		b.exchange.finishBody()
 	}
 	return n, err
--- a/lib/bfpipeline/connection.go
+++ b/lib/bfpipeline/connection.go
@@ -288,6 +288,13 @@
 	return c.closing && c.newest == e
 }
 
+// closeAfterNewest has no further request read, so that the connection closes after the newest answer.
+func (c *connection) closeAfterNewest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+}
+
 // remove removes an ended request from the connection.
 func (c *connection) remove(e *exchange) {
 	c.mu.Lock()
