A target that starts again with an earlier start time is used and drains (DRAIN)

What callers saw: a server crashed and started again under its id after its machine's clock had jumped back. Cause: reports of a start that was born earlier than the current one count as late ones of an earlier start, however long the current start has been silent; the departure was recorded and had no effect on the current start, which was dead. As among starts with different names, only the running one keeps sending heartbeats: one with an earlier time replaces a start that has crashed or been silent for three seconds. And while the current start of that name accepts work, a departure that has not ended that is not acknowledged (503): targets repeat it, and an acknowledgement binds.

--- a/bfnode/internal/bfmesh/report.go
+++ b/bfnode/internal/bfmesh/report.go
@@ -27,18 +27,22 @@
 	if heartbeat.State != bflifecycle.Draining {
 		return nil
 	}
-	return n.awaitRecord(ctx)
+	return n.awaitRecord(ctx, heartbeat.Incarnation)
 }
 
 // handleDeparture applies the departure of a target; its error is that of handleHeartbeat.
 func (n *node) handleDeparture(ctx context.Context, departure bflifecycle.Departure) error {
 	n.logger.Emit(bflog.DepartureReported, slog.String("incarnation", departure.Incarnation))
 	n.host.HandleDeparture(departure)
-	return n.awaitRecord(ctx)
+	return n.awaitRecord(ctx, departure.Incarnation)
 }
 
-// awaitRecord waits until the departures reported so far are recorded.
-func (n *node) awaitRecord(ctx context.Context) error {
+// awaitRecord waits until the departures reported so far are recorded, and checks that the last one has its
+// effect: an acknowledgement binds.
+func (n *node) awaitRecord(ctx context.Context, incarnation string) error {
+	if err := n.host.CheckDeparture(incarnation); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, maxRecordWait)
 	defer cancel()
 	return n.departures.Await(ctx)
--- a/lib/bfhost/report.go
+++ b/lib/bfhost/report.go
@@ -38,6 +38,14 @@
 	h.change(func(tr *bflifecycle.Tracker) bool { return tr.ApplyDeparture(departure, now) })
 }
 
+// CheckDeparture returns a *bflifecycle.UnappliedError for a departure that has not ended new requests for its
+// name.
+func (h *Host) CheckDeparture(incarnation string) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.tracker.CheckDeparture(incarnation)
+}
+
 // LearnDepartures adds the departures that earlier processes of the node were told of. If complete is not
 // set, there may have been more.
 func (h *Host) LearnDepartures(departures []bflifecycle.Departure, complete bool) {
--- a/lib/bflifecycle/departure.go
+++ b/lib/bflifecycle/departure.go
@@ -50,6 +50,23 @@
 	return tr.drainIfLeft(FromDeparture)
 }
 
+// UnappliedError reports a departure that must not be acknowledged: its name is that of the current start, which
+// accepts work and may be the one that leaves, if its clock was set back before it started.
+type UnappliedError struct{ Incarnation string }
+
+// Error includes the name.
+func (e *UnappliedError) Error() string {
+	return "departure of a start of " + e.Incarnation + " that is not the current one"
+}
+
+// CheckDeparture returns an *UnappliedError for a departure that has not ended new requests for its name.
+func (tr *Tracker) CheckDeparture(incarnation string) error {
+	if tr.current == nil || !tr.current.acceptsWork || tr.current.Incarnation() != incarnation {
+		return nil
+	}
+	return &UnappliedError{Incarnation: incarnation}
+}
+
 // drainIfLeft ends new requests for the current start if it has said that it leaves, and reports
 // whether the view changed.
 func (tr *Tracker) drainIfLeft(source Source) bool {
--- a/lib/bflifecycle/tracker.go
+++ b/lib/bflifecycle/tracker.go
@@ -235,10 +235,18 @@
 	case tr.current.IsSameStart(h):
 		return h.Sequence > tr.current.heartbeat.Sequence
 	case tr.current.Incarnation() == h.Incarnation:
-		return h.Started.After(tr.current.heartbeat.Started)
+		// An earlier start time is that of an earlier start whose heartbeat was delayed, or of a later one whose
+		// clock was set back.
+		return h.Started.After(tr.current.heartbeat.Started) || tr.hasEnded(h, now)
 	}
-	// Another incarnation at the same address. Only the running one keeps sending heartbeats.
-	return !tr.current.acceptsWork || tr.hasCrashed(tr.current.heartbeat) && !tr.hasCrashed(h) || now.Sub(tr.current.receivedAt) >= takeoverDelay
+	// Another incarnation at the same address.
+	return !tr.current.acceptsWork || tr.hasEnded(h, now)
+}
+
+// hasEnded reports whether the current start has ended, given a heartbeat of another one: only the running one
+// keeps sending heartbeats.
+func (tr *Tracker) hasEnded(h Heartbeat, now time.Time) bool {
+	return tr.hasCrashed(tr.current.heartbeat) && !tr.hasCrashed(h) || now.Sub(tr.current.receivedAt) >= takeoverDelay
 }
 
 // Crash records the crash of a start, so that its successor is accepted without waiting
