--- a/lib/bfanswer/answer.go
+++ b/lib/bfanswer/answer.go
@@ -44,6 +44,11 @@
 	Warm bool
 }
 
+// IsLong reports whether the answer is passed on before it is known to be whole, also at its target's node.
+func (a *Answer) IsLong() bool {
+	return a.Rest != nil && (a.Length < 0 || a.Length > TargetBufferBytes)
+}
+
 // Close releases the answer's connection and slot. It may be called more than once.
 func (a *Answer) Close() {
 	if a.Done != nil {
--- a/lib/bfentry/handler.go
+++ b/lib/bfentry/handler.go
@@ -74,7 +74,8 @@
 	// answer, nanoseconds from a send to its answer, and nanoseconds that targets run it.
 	sizes, latencies, runTimes bfroutestat.Means
 	// answers are the average lengths of the answers of each route, where they are stated.
-	answers bfroutestat.Means
+	answers     bfroutestat.Means
+	longAnswers bfroutestat.LongAnswers
 	// incoming are the long answers that this node waits for.
 	incoming bfpacer.Incoming
 	// localAcceptRates and remoteAcceptRates are the acceptance rates of targets in this node's failure
@@ -122,8 +123,8 @@
 func (h *Handler) Close() { h.closed.Store(true) }
 
 // MayRunConcurrently reports whether a request may run concurrently with others of its
-// connection, which holds for idempotent ones. A download may not: one that is cut off
-// closes the connection, and the answers queued behind it are lost.
+// connection, which holds for idempotent ones. A download or another one with a long answer may not:
+// one that is cut off closes the connection, and the answers queued behind it are lost.
 func (h *Handler) MayRunConcurrently(r *http.Request) bool {
 	traffic := h.config.Traffic.Current()
 	if traffic == nil {
@@ -131,7 +132,7 @@
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	route := traffic.Match(r.Host, path)
-	return route != nil && route.Kind() == bftraffic.Idempotent
+	return route != nil && route.Kind() == bftraffic.Idempotent && !h.longAnswers.Has(route.Name(), h.config.Timer.Now())
 }
 
 // startingRetryAfter is the retry delay advertised by a node without a configuration: a
@@ -217,6 +218,7 @@
 		h.sizes.Add(c.route.Name(), int64(len(c.request.Head)+len(result.Answer.Head)))
 		h.answers.Add(c.route.Name(), max(result.Answer.Length, int64(len(result.Answer.Head))))
 		bfheader.Strip(result.Answer.Header)
+		h.longAnswers.Note(c.route.Name(), result.Answer.IsLong(), h.config.Timer.Now())
 		if result.Answer.Rest != nil {
 			// The target's slot is held until the answer has been read. Ports that can't bound that don't
 			// serve callers.
@@ -268,9 +270,7 @@
 }
 
 func refuseWith(w http.ResponseWriter, status int, after time.Duration) {
-	if after > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
-	}
+	bfheader.WriteRetryAfterSeconds(w.Header(), after)
 	w.WriteHeader(status)
 }
 
--- a/lib/bfheader/header.go
+++ b/lib/bfheader/header.go
@@ -170,6 +170,14 @@
 	h.Set(RetryAfterExact, strconv.FormatInt(max(d.Milliseconds(), 1), 10))
 }
 
+// WriteRetryAfterSeconds sets the standard header to a retry delay in seconds with a fraction, where callers
+// understand one; nothing if there is no delay.
+func WriteRetryAfterSeconds(h http.Header, d time.Duration) {
+	if d > 0 {
+		h.Set(RetryAfter, strconv.FormatFloat(d.Seconds(), 'f', 3, 64))
+	}
+}
+
 // maxRetryAfter bounds the delay accepted from a target, so that an invalid value does not
 // keep callers away for days.
 const maxRetryAfter = time.Hour
--- a/lib/bfpipeline/connection.go
+++ b/lib/bfpipeline/connection.go
@@ -9,11 +9,11 @@
 	"net/http"
 	"net/textproto"
 	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"bilberryflow.org/lib/bfheader"
 	"bilberryflow.org/lib/bfresource"
 )
 
@@ -224,7 +224,7 @@
 // unavailable is the rejection of a request for which no memory is left. It has not run.
 func (c *connection) unavailable() *exchange {
 	return c.rejectionBy(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Retry-After", strconv.FormatFloat(bfresource.RetryAfter.Seconds(), 'f', 3, 64))
+		bfheader.WriteRetryAfterSeconds(w.Header(), bfresource.RetryAfter)
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
 }
--- a/lib/bfserver/bound.go
+++ b/lib/bfserver/bound.go
@@ -8,11 +8,11 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
 
+	"bilberryflow.org/lib/bfheader"
 	"bilberryflow.org/lib/bfresource"
 )
 
@@ -210,7 +210,7 @@
 
 // refuse answers that a request has not run and when to send it again.
 func refuse(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Retry-After", strconv.FormatFloat(bfresource.RetryAfter.Seconds(), 'f', 3, 64))
+	bfheader.WriteRetryAfterSeconds(w.Header(), bfresource.RetryAfter)
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
