Forwarding on the own interface has its share of the descriptors; calls get more

bfforward kept up to 256 idle connections to each peer and bounded nothing: like bfexchange it now closes idle ones when its share is used up, and refuses what finds none. The port for other nodes' calls gets a tenth of the descriptors instead of a fiftieth: sources and relays of a large fleet have many peers. TestConnectionsAreBounded.

--- a/bfnode/internal/bfcommand/command.go
+++ b/bfnode/internal/bfcommand/command.go
@@ -91,7 +91,7 @@
 	if n.peers, err = net.Listen("tcp", s.Listen.Peer); err != nil {
 		return nil, &bfserver.ListenError{Port: "peer", Address: s.Listen.Peer, Reason: err}
 	}
-	n.peers = bfresource.NewListener(n.peers, service())
+	n.peers = bfresource.NewListener(n.peers, n.budget.NewPort(n.limits.PeerConnections()))
 	return append(servers, operator), nil
 }
 
--- a/bfnode/internal/bfcommand/node.go
+++ b/bfnode/internal/bfcommand/node.go
@@ -81,7 +81,7 @@
 	n.metrics.Gauge("goroutines_in_group", n.group.Running)
 	n.platform = bftable.New(settings.Platform.Address, settings.Platform.Timeout.Std(), n.metrics)
 	options := bfforward.DefaultOptions()
-	options.Protocol = bfforward.Protocol(settings.Requests.Protocol)
+	options.Protocol, options.MaxOpen = bfforward.Protocol(settings.Requests.Protocol), n.limits.ForwardConnections()
 	n.client = bfforward.New(options)
 	minter := bfrecord.NewMinter(n.home)
 	directory := bfdirectory.New(settings.FailureDomain)
@@ -103,9 +103,11 @@
 }
 
 func (n *node) newGuard(minter *bfrecord.Minter, directory *bfdirectory.Directory) {
+	toTarget := bfforward.TargetOptions()
+	toTarget.MaxOpen = n.limits.TargetConnections()
 	n.guard = bfguard.New(bfguard.Config{
 		Home: n.home, Service: n.settings.Service, ColdStart: n.coldStart,
-		View: n.view, Client: bfforward.New(bfforward.TargetOptions()), Minter: minter,
+		View: n.view, Client: bfforward.New(toTarget), Minter: minter,
 		Timer: n.timer, Logger: n.logger, Metrics: n.metrics, PublishState: n.publishTargetState,
 		Table: n.platform, Directory: directory, Resolver: bfguard.Resolver{Calls: n.calls}, Spawn: n.group.Go,
 		Quarantine: n.quarantine, Crashed: n.targetCrashed,
--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -335,7 +335,7 @@
 	if n.peers, err = net.Listen("tcp", n.common.Peer); err != nil {
 		return nil, &bfserver.ListenError{Port: "peer", Address: n.common.Peer, Reason: err}
 	}
-	n.peers = bfresource.NewListener(n.peers, service())
+	n.peers = bfresource.NewListener(n.peers, n.budget.NewPort(limits.PeerConnections()))
 	return servers, nil
 }
 
--- a/lib/bfforward/client.go
+++ b/lib/bfforward/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -33,6 +34,8 @@
 	IdleTimeout time.Duration
 	// MaxPerPeer limits the connections to one peer; 0 means no limit.
 	MaxPerPeer int
+	// MaxOpen limits the connections to all peers; 0 means no limit.
+	MaxOpen int
 }
 
 // DefaultOptions returns options for connections between nodes.
@@ -60,8 +63,10 @@
 // connections can be dropped without affecting other peers.
 type Client struct {
 	options Options
-	mu      sync.RWMutex
-	peers   map[string]*peer
+	// open is the number of open connections.
+	open  atomic.Int64
+	mu    sync.RWMutex
+	peers map[string]*peer
 }
 
 type peer struct {
@@ -111,12 +116,63 @@
 }
 
 func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if err := c.reserve(); err != nil {
+		return nil, err
+	}
 	dialer := net.Dialer{Timeout: c.options.DialTimeout}
 	opened, err := dialer.DialContext(ctx, network, address)
-	if err != nil || c.options.Protocol == HTTP2 {
-		return opened, err
+	if err != nil {
+		c.open.Add(-1)
+		return nil, err
+	}
+	counted := &countedConn{Conn: opened, closed: func() { c.open.Add(-1) }}
+	if c.options.Protocol == HTTP2 {
+		return counted, nil
+	}
+	return &conn{Conn: counted}, nil
+}
+
+// ConnectionsError reports a connection that was not opened, as all that the client may have are open.
+type ConnectionsError struct{ Limit int }
+
+// Error includes the limit.
+func (e *ConnectionsError) Error() string { return fmt.Sprintf("all %d connections are open", e.Limit) }
+
+// reserve counts a connection that is about to be opened. If there are too many, it closes the idle ones; it
+// fails with a *ConnectionsError if that is not enough.
+func (c *Client) reserve() error {
+	limit := int64(c.options.MaxOpen)
+	if c.open.Add(1) <= limit || limit == 0 {
+		return nil
+	}
+	c.closeIdle()
+	if c.open.Load() <= limit {
+		return nil
 	}
-	return &conn{Conn: opened}, nil
+	c.open.Add(-1)
+	return &ConnectionsError{Limit: c.options.MaxOpen}
+}
+
+// closeIdle closes the idle connections to all peers.
+func (c *Client) closeIdle() {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	for _, p := range c.peers {
+		p.transport.CloseIdleConnections()
+	}
+}
+
+// countedConn is a connection that counts until it is closed.
+type countedConn struct {
+	net.Conn
+	once   sync.Once
+	closed func()
+}
+
+// Close closes the connection.
+func (c *countedConn) Close() error {
+	c.once.Do(c.closed)
+	return c.Conn.Close()
 }
 
 // ResetPeer drops the idle connections to a peer, so that the next request opens a new one.
--- a/lib/bfforward/forward_test.go
+++ b/lib/bfforward/forward_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -176,3 +177,46 @@
 	is.True(errors.As(err, &lost) && errors.As(err, &late))
 	is.Equal(late.ID, "1")
 }
+
+// Guards against a client that takes all descriptors of its process, and against one that keeps idle connections
+// while others are wanted.
+func TestConnectionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	options := DefaultOptions()
+	options.MaxOpen = 2
+	client := New(options)
+	defer client.Sweep(time.Now().Add(time.Hour), 0)
+	arrived, release := make(chan struct{}, 2), make(chan struct{})
+	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			arrived <- struct{}{}
+			<-release
+		}
+	})
+	addresses := make([]string, 3)
+	for i := range addresses {
+		server := httptest.NewServer(handler)
+		defer server.Close()
+		addresses[i] = server.Listener.Addr().String()
+	}
+	for _, address := range addresses {
+		get(is, client, address)
+		is.True(client.open.Load() <= 2)
+	}
+	var sent sync.WaitGroup
+	for _, address := range addresses[:2] {
+		sent.Go(func() {
+			response, err := client.Send(context.Background(), address, Request{Method: http.MethodPost, Target: "/"}, nil)
+			is.NoErr(err)
+			response.Body.Close()
+		})
+	}
+	<-arrived
+	<-arrived
+	_, err := client.Send(context.Background(), addresses[2], Request{Method: http.MethodGet, Target: "/"}, nil) //nolint:bodyclose // no response is returned
+	var notSent *NotSentError
+	var limit *ConnectionsError
+	is.True(errors.As(err, &notSent) && errors.As(err, &limit))
+	close(release)
+	sent.Wait()
+}
--- a/lib/bfresource/budget_test.go
+++ b/lib/bfresource/budget_test.go
@@ -275,8 +275,8 @@
 	for _, descriptors := range []int{1024, 4100, 1 << 20} {
 		for _, share := range []float64{0.1, 0.5, 0.6} {
 			l := NewLimits(Machine{MemoryMB: 284, Descriptors: descriptors}, Clients{ConnectionShare: share})
-			const servicePorts = 5
-			sum := l.CallerConnections() + l.NodeConnections() + servicePorts*l.ServiceConnections() + l.ForwardConnections() + l.TargetConnections()
+			const servicePorts = 4
+			sum := l.CallerConnections() + l.NodeConnections() + l.PeerConnections() + servicePorts*l.ServiceConnections() + l.ForwardConnections() + l.TargetConnections()
 			is.True(sum+ownDescriptors < descriptors)
 		}
 	}
--- a/lib/bfresource/settings.go
+++ b/lib/bfresource/settings.go
@@ -122,9 +122,10 @@
 // Shares of the connections that callers don't get.
 const (
 	nodeShare    = 0.4
-	servicePart  = 0.04
-	forwardShare = 0.22
-	targetShare  = 0.1
+	peerShare    = 0.2
+	serviceShare = 0.03
+	forwardShare = 0.2
+	targetShare  = 0.08
 )
 
 // connections returns a number of connections, 0 without limits.
@@ -142,9 +143,13 @@
 // NodeConnections returns the limit of the connections of other nodes' requests.
 func (l Limits) NodeConnections() int { return l.connections((1 - l.ConnectionShare) * nodeShare) }
 
-// ServiceConnections returns the limit of each of the ports for reports, readiness, operators, metrics and the
-// calls of other nodes.
-func (l Limits) ServiceConnections() int { return l.connections((1 - l.ConnectionShare) * servicePart) }
+// PeerConnections returns the limit of the connections of other nodes' calls.
+func (l Limits) PeerConnections() int { return l.connections((1 - l.ConnectionShare) * peerShare) }
+
+// ServiceConnections returns the limit of each of the ports for reports, readiness, operators and metrics.
+func (l Limits) ServiceConnections() int {
+	return l.connections((1 - l.ConnectionShare) * serviceShare)
+}
 
 // ForwardConnections returns the limit of the connections to other nodes.
 func (l Limits) ForwardConnections() int {
