Clients that pause or trickle are given up before large uploads that make progress

What callers would have seen: among requests that were arriving for a while, the one that held most memory for longest went first, so that one large upload at full speed lost its memory, or on a full port its connection, to a crowd of small ones that had stopped. Cause: age was taken for slowness. bfpace, which bftransfer used within itself, measures whether bytes arrive at their pace while the node waits for them; time in which the node doesn't read doesn't count. Requests that are late by it are given up first, and a full port closes none but these.

--- a/bfnode/internal/bfmesh/node.go
+++ b/bfnode/internal/bfmesh/node.go
@@ -151,7 +151,7 @@
 		Service: common.Service, Names: names, Client: n.targets, Timer: n.timer, Account: account,
 		AwaitDepartures: !settings.FirstStart, Departed: func(all []bflifecycle.Departure) { n.departures.Record(all) },
 		Changed: n.targetChanged, HeartbeatIgnored: n.logIgnoredHeartbeat, HealthPath: n.healthPath, Spawn: n.group.Go, Verified: n.logVerification, Quarantine: n.quarantine, Crashed: n.targetCrashed, AdmitsVersion: n.admitsVersion, LimitChanged: n.limitChanged, LearnsRoom: settings.LearnRoom,
-		Transfers: bftransfer.Terms{BodyRate: common.Limits.BodyRate, BodyPause: common.Limits.BodyPause, AnswerPause: common.Limits.AnswerPause},
+		Transfers: bftransfer.Terms{Body: common.Limits.Body, AnswerPause: common.Limits.AnswerPause},
 	})
 	n.freshness = newFreshness(settings.Revocation, clock, n.current, logger)
 	n.quotas = n.newQuotas()
--- a/lib/bfpeer/frame.go
+++ b/lib/bfpeer/frame.go
@@ -140,13 +140,27 @@
 // readBody reads size bytes into a buffer that grows with the received bytes. Allocating by
 // the stated length alone would let a few connections exhaust the node's memory.
 func readBody(in io.Reader, size int64, message *bfresource.Request) ([]byte, error) {
-	body, err := bfresource.ReadAll(io.LimitReader(in, size), size, message)
+	body, err := bfresource.ReadAll(io.LimitReader(pacedReader{in, message}, size), size, message)
 	if err == nil && int64(len(body)) < size {
 		err = io.ErrUnexpectedEOF
 	}
 	return body, err
 }
 
+// pacedReader marks when a message waits for its bytes.
+type pacedReader struct {
+	from    io.Reader
+	message *bfresource.Request
+}
+
+// Read reads bytes of the message.
+func (r pacedReader) Read(p []byte) (int, error) {
+	r.message.BeginRead()
+	n, err := r.from.Read(p)
+	r.message.EndRead(n)
+	return n, err
+}
+
 // decodedBytes returns what decoding a frame takes: the decompressed message and its parsed form.
 func decodedBytes(data []byte) int64 {
 	size := int64(len(data))
--- a/lib/bfpipeline/limited.go
+++ b/lib/bfpipeline/limited.go
@@ -48,7 +48,9 @@
 	if err := r.givenUp(); err != nil {
 		return 0, err
 	}
+	r.held.BeginRead()
 	n, err := r.from.Read(p)
+	r.held.EndRead(n)
 	if r.limited {
 		r.remaining -= n
 		if exhausted := r.charge(p[:n]); exhausted != nil {
--- a/lib/bfresource/budget.go
+++ b/lib/bfresource/budget.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"bilberryflow.org/lib/bfpace"
 )
 
 // What a process holds for a client beside its bytes, in bytes.
@@ -50,10 +52,11 @@
 
 // Budget is what a process holds for its clients. It is safe for concurrent use; nil bounds nothing.
 type Budget struct {
-	limits Limits
 	// memory is in bytes.
 	memory int64
-	now    func() time.Time
+	// pace is that of requests that are not slow.
+	pace bfpace.Terms
+	now  func() time.Time
 
 	mu       sync.Mutex
 	held     int64
@@ -79,7 +82,10 @@
 	if limits == (Limits{}) {
 		return nil
 	}
-	return &Budget{limits: limits, memory: limits.requestMemory(), now: time.Now, arriving: map[*Request]struct{}{}}
+	return &Budget{
+		memory: limits.requestMemory(), pace: bfpace.Terms{Rate: limits.Body.Rate, Pause: slowAfter},
+		now: time.Now, arriving: map[*Request]struct{}{},
+	}
 }
 
 // Counts returns the current counts.
@@ -106,6 +112,10 @@
 	// The budget guards what follows.
 	held  int64
 	began time.Time
+	// pace is that of its bytes. reading is set while it waits for some, and readAt when that changed last.
+	pace    bfpace.Pace
+	reading bool
+	readAt  time.Time
 	// ended is set once it holds nothing any more.
 	ended bool
 }
@@ -153,6 +163,30 @@
 	r.held += bytes
 }
 
+// BeginRead marks that the request waits for its client, until EndRead.
+func (r *Request) BeginRead() {
+	if r == nil {
+		return
+	}
+	b := r.conn.port.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	r.pace, r.reading, r.readAt = r.pace.Waited(now.Sub(r.readAt)), true, now
+}
+
+// EndRead marks that bytes of the request have arrived.
+func (r *Request) EndRead(bytes int) {
+	if r == nil {
+		return
+	}
+	b := r.conn.port.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	r.pace, r.reading, r.readAt = r.pace.Arrived(bytes, now, b.pace), false, now
+}
+
 // Arrived marks the request as complete: it keeps what it holds until its end.
 func (r *Request) Arrived() {
 	if r == nil {
--- a/lib/bfresource/port.go
+++ b/lib/bfresource/port.go
@@ -4,6 +4,8 @@
 	"container/list"
 	"fmt"
 	"time"
+
+	"bilberryflow.org/lib/bfpace"
 )
 
 // FullError reports a connection that a port can't take.
@@ -123,6 +125,7 @@
 	r := &Request{conn: c, giveUp: giveUp}
 	b.mu.Lock()
 	r.began = b.now()
+	r.pace, r.readAt = bfpace.New(r.began, b.pace), r.began
 	c.requests++
 	c.setBusy()
 	b.arriving[r] = struct{}{}
--- a/lib/bfresource/reclaim.go
+++ b/lib/bfresource/reclaim.go
@@ -1,12 +1,13 @@
 package bfresource
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
-// slowAfter is how long a request may take to arrive before others get what it holds. A request of an ordinary
-// size arrives within some round trips.
+// slowAfter is how long a client may pause within a request, and how long a request may take to arrive, before
+// others get what it holds. A request of an ordinary size arrives within some round trips.
 const slowAfter = 250 * time.Millisecond
 
 // reclaimShare is the least share that is freed at once, so that the search for it is rare.
@@ -24,35 +25,62 @@
 	}
 }
 
-// weight is by how much a request that arrives burdens the others: what it holds, times how long it has held
-// it. It is 0 for one that is not slow.
-func weight(held int64, age time.Duration) float64 {
-	if age < slowAfter {
-		return 0
+// burden is by how much a request that arrives burdens the others.
+type burden struct {
+	request *Request
+	// late is set if the node waits for the client, which sends too slowly.
+	late bool
+	// weight is what the request holds, times how long it has been arriving.
+	weight float64
+}
+
+// burdenOf returns the burden of a request, and whether others may get what it holds.
+func (r *Request) burdenOf(now time.Time) (burden, bool) {
+	age := now.Sub(r.began)
+	b := burden{request: r, late: r.reading && r.pace.Late(now) >= 0, weight: float64(r.held) * age.Seconds()}
+	return b, age >= slowAfter
+}
+
+// compare orders burdens, the one that is given up first before the others.
+func (b burden) compare(other burden) int {
+	switch {
+	case b.late != other.late && b.late:
+		return -1
+	case b.late != other.late:
+		return 1
+	}
+	return cmp.Compare(other.weight, b.weight)
+}
+
+// burdens returns the requests that others may get the memory of, the one that is given up first before the others.
+func (b *Budget) burdens(now time.Time) []burden {
+	var list []burden
+	for r := range b.arriving {
+		if of, ok := r.burdenOf(now); ok {
+			list = append(list, of)
+		}
 	}
-	return float64(held) * age.Seconds()
+	slices.SortFunc(list, burden.compare)
+	return list
 }
 
 // reclaim frees at least need bytes, as far as it can, for a request, nil for a connection: from requests that
-// arrive slowly, the greatest weight first, then from idle connections, longest idle first. Requests of less
-// weight than the asking one are left alone.
+// arrive too slowly, then from the others that are still arriving, each the greatest weight first, then from idle
+// connections, longest idle first. Requests that burden less than the asking one are left alone.
 func (b *Budget) reclaim(asking *Request, need int64) victims {
 	need = max(need, b.memory/reclaimShare)
 	now := b.now()
-	own := 0.0
+	var own burden
 	if asking != nil {
-		own = weight(asking.held, now.Sub(asking.began))
+		own, _ = asking.burdenOf(now)
 	}
 	var ended victims
-	for _, r := range b.slow(now) {
-		if need <= 0 {
-			return ended
-		}
-		if r == asking || weight(r.held, now.Sub(r.began)) <= own {
-			continue
+	for _, of := range b.burdens(now) {
+		if need <= 0 || asking != nil && of.compare(own) >= 0 {
+			break
 		}
-		need -= r.held
-		ended = append(ended, b.giveUp(r))
+		need -= of.request.held
+		ended = append(ended, b.giveUp(of.request))
 	}
 	for _, p := range b.ports {
 		for need > 0 && p.idle.Len() > 0 {
@@ -63,34 +91,6 @@
 	return ended
 }
 
-// slow returns the requests that arrive slowly, the greatest weight first.
-func (b *Budget) slow(now time.Time) []*Request {
-	type weighted struct {
-		request *Request
-		weight  float64
-	}
-	var list []weighted
-	for r := range b.arriving {
-		if w := weight(r.held, now.Sub(r.began)); w > 0 {
-			list = append(list, weighted{r, w})
-		}
-	}
-	slices.SortFunc(list, func(a, b weighted) int {
-		switch {
-		case a.weight > b.weight:
-			return -1
-		case a.weight < b.weight:
-			return 1
-		}
-		return 0
-	})
-	requests := make([]*Request, len(list))
-	for i, w := range list {
-		requests[i] = w.request
-	}
-	return requests
-}
-
 // giveUp takes what an arriving request holds.
 func (b *Budget) giveUp(r *Request) victim {
 	b.counts.RequestsGivenUp++
@@ -98,7 +98,11 @@
 	r.givenUp.Store(true)
 	b.held -= r.held
 	r.held = 0
-	return r.giveUp
+	return func() {
+		if !r.hasEnded() {
+			r.giveUp()
+		}
+	}
 }
 
 // closeIdle closes the longest idle connection of a port.
@@ -109,23 +113,32 @@
 	return c.close
 }
 
-// makeRoom closes connections of a full port: the longest idle one, or else the slowest of those that have
-// only one request, which arrives slowly.
+// hasEnded reports whether the request has ended: its connection may have another one.
+func (r *Request) hasEnded() bool {
+	b := r.conn.port.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return r.ended
+}
+
+// makeRoom closes connections of a full port: the longest idle one, or else some of those that have only one request,
+// which arrives too slowly.
 func (b *Budget) makeRoom(p *Port) victims {
 	if p.idle.Len() > 0 {
 		return victims{b.closeIdle(p)}
 	}
-	now, room := b.now(), max(p.limit/reclaimShare, 1)
+	room := max(p.limit/reclaimShare, 1)
 	var ended victims
-	for _, r := range b.slow(now) {
-		if len(ended) == room {
+	for _, of := range b.burdens(b.now()) {
+		if len(ended) == room || !of.late {
 			break
 		}
-		if r.conn.port == p && r.conn.requests == 1 {
-			b.giveUp(r)
+		c := of.request.conn
+		if c.port == p && c.requests == 1 {
+			b.giveUp(of.request)
 			b.counts.SlowClosed++
-			r.conn.remove()
-			ended = append(ended, r.conn.close)
+			c.remove()
+			ended = append(ended, c.close)
 		}
 	}
 	return ended
--- a/lib/bfresource/settings.go
+++ b/lib/bfresource/settings.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"bilberryflow.org/lib/bfpace"
 	"bilberryflow.org/lib/bfsettings"
 )
 
@@ -43,7 +44,7 @@
 	l := Limits{
 		MachineMemory: int64(machine.MemoryMB * megabyte), Descriptors: machine.Descriptors,
 		MemoryShare: clients.MemoryShare, ConnectionShare: clients.ConnectionShare,
-		BodyRate: clients.BodyRate, BodyPause: clients.BodyPause.Std(), AnswerPause: clients.AnswerPause.Std(),
+		Body: bfpace.Terms{Rate: clients.BodyRate, Pause: clients.BodyPause.Std()}, AnswerPause: clients.AnswerPause.Std(),
 	}
 	if l.MachineMemory <= 0 {
 		l.MachineMemory = systemMemory()
@@ -57,11 +58,11 @@
 	if l.ConnectionShare <= 0 {
 		l.ConnectionShare = defaultConnectionShare
 	}
-	if l.BodyRate <= 0 {
-		l.BodyRate = defaultBodyRate
+	if l.Body.Rate <= 0 {
+		l.Body.Rate = defaultBodyRate
 	}
-	if l.BodyPause <= 0 {
-		l.BodyPause = defaultBodyPause
+	if l.Body.Pause <= 0 {
+		l.Body.Pause = defaultBodyPause
 	}
 	if l.AnswerPause <= 0 {
 		l.AnswerPause = defaultAnswerPause
@@ -77,9 +78,9 @@
 	Descriptors int
 	// MemoryShare and ConnectionShare are the shares for all clients and for callers' connections.
 	MemoryShare, ConnectionShare float64
-	// BodyRate is in bytes per second.
-	BodyRate               int
-	BodyPause, AnswerPause time.Duration
+	// Body is the pace of bodies that others wait for, and AnswerPause that of a reader's piece.
+	Body        bfpace.Terms
+	AnswerPause time.Duration
 }
 
 const (
--- a/lib/bfserver/bound.go
+++ b/lib/bfserver/bound.go
@@ -62,7 +62,10 @@
 	if err := c.givenUp(); err != nil {
 		return 0, c.readError(err)
 	}
+	head := c.awaitedHead()
+	head.BeginRead()
 	n, err := c.Conn.Read(p)
+	head.EndRead(n)
 	if n > 0 {
 		if exhausted := c.arrived(p[:n]); exhausted != nil {
 			return 0, c.readError(exhausted)
@@ -87,6 +90,16 @@
 	return c.request.GivenUp()
 }
 
+// awaitedHead returns the request of which the head is read, nil for none.
+func (c *boundConn) awaitedHead() *bfresource.Request {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.reading {
+		return nil
+	}
+	return c.request
+}
+
 // arrived charges bytes of a head.
 func (c *boundConn) arrived(p []byte) error {
 	c.mu.Lock()
@@ -262,7 +275,9 @@
 	if err := b.request.GivenUp(); err != nil {
 		return 0, err
 	}
+	b.request.BeginRead()
 	n, err := b.ReadCloser.Read(p)
+	b.request.EndRead(n)
 	if err == nil {
 		return n, nil
 	}
--- a/lib/bftransfer/transfer.go
+++ b/lib/bftransfer/transfer.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"bilberryflow.org/lib/bfpace"
 )
 
 // Set holds the transfers of one target. It is safe for concurrent use.
@@ -31,7 +33,7 @@
 	done chan struct{}
 
 	// The set guards what follows.
-	pace pace
+	pace bfpace.Pace
 	// end ends the transfer, nil while the target or the node is to act.
 	end func()
 	// late is set once the transfer was ended.
@@ -65,7 +67,7 @@
 	}
 	t.set.mu.Lock()
 	defer t.set.mu.Unlock()
-	t.pace, t.end = newPace(t.set.now(), t.set.terms), end
+	t.pace, t.end = bfpace.New(t.set.now(), t.set.terms.Body), end
 }
 
 // BodyArrived counts bytes of the body.
@@ -75,7 +77,7 @@
 	}
 	t.set.mu.Lock()
 	defer t.set.mu.Unlock()
-	t.pace = t.pace.arrived(bytes, t.set.now(), t.set.terms)
+	t.pace = t.pace.Arrived(bytes, t.set.now(), t.set.terms.Body)
 }
 
 // AwaitReader marks that the client is to read a piece of the answer, until Rest. end ends the answer.
@@ -85,7 +87,7 @@
 	}
 	t.set.mu.Lock()
 	defer t.set.mu.Unlock()
-	t.pace, t.end = pace{due: t.set.now().Add(t.set.terms.AnswerPause)}, end
+	t.pace, t.end = bfpace.New(t.set.now(), bfpace.Terms{Pause: t.set.terms.AnswerPause}), end
 }
 
 // Rest marks that the client is not to act.
@@ -147,10 +149,10 @@
 	}
 	now := s.now()
 	for t := range s.open {
-		if t.end == nil || t.late || now.Before(t.pace.due) {
+		if t.end == nil || t.late || t.pace.Late(now) < 0 {
 			continue
 		}
-		if latest == nil || t.pace.due.Before(latest.pace.due) {
+		if latest == nil || t.pace.Late(now) > latest.pace.Late(now) {
 			latest = t
 		}
 	}
