Reads of a connection no longer count for the request before; answers charge their copy buffer

A request that was given up at the moment in which its body arrived had the next read of its connection fail, which cancels what is in progress on it. The reader forgets a request with its body's end. The buffer through which a long answer is passed on is charged without being refused, as the answer is there.

--- a/lib/bfanswer/relay.go
+++ b/lib/bfanswer/relay.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bilberryflow.org/lib/bfpacer"
+	"bilberryflow.org/lib/bfresource"
 	"bilberryflow.org/lib/bftransfer"
 )
 
@@ -30,6 +31,9 @@
 	}
 	w.WriteHeader(answer.Status)
 	var to io.Writer = writerOnly{w}
+	if answer.Rest != nil {
+		bfresource.FromContext(r.Context()).Hold(relayBufferBytes)
+	}
 	if answer.Rest != nil && answer.Transfer != nil {
 		to = watchedWriter{w, answer.Transfer}
 	}
--- a/lib/bfpipeline/connection.go
+++ b/lib/bfpipeline/connection.go
@@ -89,6 +89,7 @@
 		c.server.group.Go(c.server.config.Name+" request", e.run)
 		// The handler reads the body from c.reader, so the next request must not be read until it is done.
 		<-e.bodyDone
+		c.limited.release()
 	}
 }
 
--- a/lib/bfpipeline/limited.go
+++ b/lib/bfpipeline/limited.go
@@ -29,6 +29,9 @@
 // allowAll removes the limit; the bytes of bodies are charged where they are kept.
 func (r *limitedReader) allowAll() { r.limited = false }
 
+// release ends the reads of a request: what follows belongs to the next one.
+func (r *limitedReader) release() { r.held = nil }
+
 // charge charges bytes of a header.
 func (r *limitedReader) charge(p []byte) error {
 	r.exhausted = r.held.Charge(bfresource.HeadCost(len(p), bytes.Count(p, []byte{'\n'})))
--- a/lib/bfresource/budget.go
+++ b/lib/bfresource/budget.go
@@ -221,7 +221,7 @@
 	delete(b.arriving, r)
 	b.held -= r.held
 	r.held = 0
-	r.conn.endRequest(b.now())
+	r.conn.endRequest()
 }
 
 type contextKey struct{}
--- a/lib/bfresource/port.go
+++ b/lib/bfresource/port.go
@@ -3,7 +3,6 @@
 import (
 	"container/list"
 	"fmt"
-	"time"
 
 	"bilberryflow.org/lib/bfpace"
 )
@@ -44,8 +43,7 @@
 	close func()
 
 	// The budget guards what follows.
-	requests  int
-	idleSince time.Time
+	requests int
 	// held is in bytes, without those of requests.
 	held int64
 	// element is the connection's place among the idle ones, nil if it has a request.
@@ -87,14 +85,13 @@
 		return ended, err
 	}
 	p.open[c] = struct{}{}
-	c.setIdle(b.now())
+	c.setIdle()
 	return ended, nil
 }
 
 // setIdle marks the connection as one without a request. The budget must be locked.
-func (c *Conn) setIdle(now time.Time) {
+func (c *Conn) setIdle() {
 	if !c.closed && c.element == nil {
-		c.idleSince = now
 		c.element = c.port.idle.PushBack(c)
 	}
 }
@@ -108,10 +105,10 @@
 }
 
 // endRequest ends a request of the connection. The budget must be locked.
-func (c *Conn) endRequest(now time.Time) {
+func (c *Conn) endRequest() {
 	c.requests--
 	if c.requests == 0 {
-		c.setIdle(now)
+		c.setIdle()
 	}
 }
 
