--- a/lib/bfentry/pipeline_test.go
+++ b/lib/bfentry/pipeline_test.go
@@ -58,13 +58,15 @@
 	m.NoErr(err)
 	_, err = io.Copy(io.Discard, response.Body)
 	m.NoErr(err)
+	response.Body.Close()
 	breaks.Store(true)
 	_, err = io.WriteString(conn, get("long")+get("1")+get("2"))
 	m.NoErr(err)
-	response, err = http.ReadResponse(reader, nil)
+	broken, err := http.ReadResponse(reader, nil)
 	m.NoErr(err)
-	_, err = io.Copy(io.Discard, response.Body)
-	m.True(err != nil) // broken off
+	defer broken.Body.Close()
+	_, err = io.Copy(io.Discard, broken.Body)
+	m.True(err != nil)
 	_, err = reader.ReadByte()
 	m.True(err != nil)
 	m.Equal(m.runs(), int32(2)) // the long ones
--- a/lib/bfexchange/limit.go
+++ b/lib/bfexchange/limit.go
@@ -57,9 +57,3 @@
 	c.idle[longest.address] = slices.Delete(c.idle[longest.address], 0, 1)
 	return longest
 }
-
-// Close closes the connection.
-func (k *conn) Close() error {
-	k.closeOnce.Do(k.closed)
-	return k.Conn.Close()
-}
--- a/lib/bfexchange/pool.go
+++ b/lib/bfexchange/pool.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"bilberryflow.org/lib/bfresource"
 )
 
 // Options configure a Client.
@@ -97,9 +99,6 @@
 // conn is a connection, used by one request at a time.
 type conn struct {
 	net.Conn
-	closeOnce sync.Once
-	// closed is called once, when the connection is closed.
-	closed  func()
 	address string
 	source  *headReader
 	reader  *bufio.Reader
@@ -149,11 +148,12 @@
 		return nil, err
 	}
 	c.opened.Add(1)
+	opened = bfresource.NewCounted(opened, c.release)
 	if c.options.Wrap != nil {
 		opened = c.options.Wrap(address, opened)
 	}
 	source := &headReader{conn: opened}
-	return &conn{Conn: opened, closed: c.release, address: address, source: source, reader: bufio.NewReader(source), idleTimeout: c.options.DefaultIdleTimeout}, nil
+	return &conn{Conn: opened, address: address, source: source, reader: bufio.NewReader(source), idleTimeout: c.options.DefaultIdleTimeout}, nil
 }
 
 // get returns a connection to address that has not carried the request before, pooled or new.
--- a/lib/bfforward/client.go
+++ b/lib/bfforward/client.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"bilberryflow.org/lib/bfresource"
 )
 
 // Protocol is the HTTP version used between peers.
@@ -125,7 +127,7 @@
 		c.open.Add(-1)
 		return nil, err
 	}
-	counted := &countedConn{Conn: opened, closed: func() { c.open.Add(-1) }}
+	counted := bfresource.NewCounted(opened, func() { c.open.Add(-1) })
 	if c.options.Protocol == HTTP2 {
 		return counted, nil
 	}
@@ -162,19 +164,6 @@
 	}
 }
 
-// countedConn is a connection that counts until it is closed.
-type countedConn struct {
-	net.Conn
-	once   sync.Once
-	closed func()
-}
-
-// Close closes the connection.
-func (c *countedConn) Close() error {
-	c.once.Do(c.closed)
-	return c.Conn.Close()
-}
-
 // ResetPeer drops the idle connections to a peer, so that the next request opens a new one.
 //
 // Connections can go silently dead while new ones work; each idle one would
--- a/lib/bfresource/settings.go
+++ b/lib/bfresource/settings.go
@@ -1,7 +1,6 @@
 package bfresource
 
 import (
-	"bufio"
 	"os"
 	"runtime/debug"
 	"strconv"
@@ -165,13 +164,12 @@
 
 // systemMemory returns the memory of the machine in bytes.
 func systemMemory() int64 {
-	file, err := os.Open("/proc/meminfo")
+	info, err := os.ReadFile("/proc/meminfo")
 	if err != nil {
 		return unknownMemory
 	}
-	defer file.Close()
-	for lines := bufio.NewScanner(file); lines.Scan(); {
-		fields := strings.Fields(lines.Text())
+	for line := range strings.Lines(string(info)) {
+		fields := strings.Fields(line)
 		if len(fields) < 2 || fields[0] != "MemTotal:" {
 			continue
 		}
--- a/lib/bfserver/bound_test.go
+++ b/lib/bfserver/bound_test.go
@@ -63,7 +63,7 @@
 	port, budget, runs := listenBound(t, 0.5)
 	transport := &http.Transport{Protocols: new(http.Protocols)}
 	transport.Protocols.SetUnencryptedHTTP2(true)
-	send := func(lines int) *http.Response {
+	send := func(lines int) (status int, header http.Header) {
 		request, err := http.NewRequest(http.MethodGet, "http://"+port.Address()+"/x", nil)
 		is.NoErr(err)
 		for i := range lines {
@@ -74,12 +74,13 @@
 		_, err = io.Copy(io.Discard, response.Body)
 		is.NoErr(err)
 		response.Body.Close()
-		return response
+		return response.StatusCode, response.Header
 	}
-	is.Equal(send(3).StatusCode, http.StatusOK)
-	refused := send(800)
-	is.Equal(refused.StatusCode, http.StatusServiceUnavailable)
-	is.Equal(refused.Header.Get("X-Not-Run"), "1")
+	status, _ := send(3)
+	is.Equal(status, http.StatusOK)
+	status, header := send(800)
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(header.Get("X-Not-Run"), "1")
 	is.Equal(runs.Load(), int32(1))
 	transport.CloseIdleConnections()
 	awaitNothingHeld(t, budget)
