--- a/lib/bfpeer/frame.go
+++ b/lib/bfpeer/frame.go
@@ -165,15 +165,27 @@
 func decodedBytes(data []byte) int64 {
 	size := int64(len(data))
 	if data[0] == compressedMark {
-		size = maxMessage
-		var header zstd.Header
-		if err := header.Decode(data[1:]); err == nil && header.HasFCS {
-			size = int64(min(header.FrameContentSize, maxMessage))
-		}
+		size = decompressedBytes(data[1:])
 	}
 	return 2 * size
 }
 
+// maxBlock is the size in bytes of the largest block of a compressed message.
+const maxBlock = 128 << 10
+
+// decompressedBytes returns a bound of the size of a compressed message. A short one doesn't state its size, but
+// has a single block, which is no longer than its window.
+func decompressedBytes(data []byte) int64 {
+	var header zstd.Header
+	switch err := header.Decode(data); {
+	case err == nil && header.HasFCS:
+		return int64(min(header.FrameContentSize, maxMessage))
+	case err == nil && header.FirstBlock.OK && header.FirstBlock.Last:
+		return int64(min(header.WindowSize, maxBlock))
+	}
+	return maxMessage
+}
+
 func decodeFrame(data []byte) (jsonrpc2.Message, error) {
 	mark, body := data[0], data[1:]
 	switch mark {
--- a/lib/bfpeer/hostile_test.go
+++ b/lib/bfpeer/hostile_test.go
@@ -281,3 +281,17 @@
 	is.Equal(len(nodes[0].conns), 1)
 	is.Equal(len(nodes[1].conns), 1)
 }
+
+// Guards against short messages that are charged as much as the longest, so that two at a time close the
+// connections of others: their compressed form doesn't state their size.
+func TestShortMessagesCostLittle(t *testing.T) {
+	is := is.New(t)
+	for _, length := range []int{1, 127, 128, 200, 255, 256, 1000, 100_000} {
+		data := []byte(strings.Repeat("x", length))
+		frame := encodeFrame(data)
+		_, size := binary.Uvarint(frame)
+		cost := decodedBytes(frame[size:])
+		is.True(cost >= 2*int64(length))
+		is.True(cost <= 2*int64(length)+4<<10)
+	}
+}
