Nothing is closed in vain, and no connection with an unread request (LOST)

A request that is larger than all that could be freed had everything freed and was refused after that: now it is refused at once. And a connection counted as idle although its next request had arrived and waited in the kernel, on a node short of processor time: closing it lost the request. The sockets of the longest idle connections are now asked for unread bytes, and those that have some are passed over. TestNothingIsClosedInVain and TestConnectionWithUnreadBytesIsNotIdle failed before.

--- a/lib/bfpipeline/server.go
+++ b/lib/bfpipeline/server.go
@@ -150,7 +150,7 @@
 		// On an error the system's default buffer size stays in effect.
 		_ = tcp.SetWriteBuffer(s.config.SendBuffer)
 	}
-	held, err := s.config.Port.Open(func() { accepted.Close() })
+	held, err := s.config.Port.Accept(accepted)
 	if err != nil {
 		// Nothing was read from it, so that its caller may send its request again.
 		accepted.Close()
--- a/lib/bfresource/budget_test.go
+++ b/lib/bfresource/budget_test.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -29,13 +31,16 @@
 	conn            *Conn
 	request         *Request
 	closed, givenUp bool
+	unread          bool
 }
 
+func noBytes() bool { return false }
+
 func connect(t *testing.T, p *Port) *client {
 	t.Helper()
 	c := &client{}
 	var err error
-	c.conn, err = p.Open(func() { c.closed = true })
+	c.conn, err = p.Open(func() { c.closed = true }, func() bool { return c.unread })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -160,7 +165,7 @@
 	is.True(second.closed && !slow.closed)
 	is.NoErr(connect(t, p).send(0))
 	is.True(slow.closed)
-	_, err := p.Open(func() {})
+	_, err := p.Open(func() {}, noBytes)
 	var full *FullError
 	is.True(errors.As(err, &full)) // those left have just begun to send
 	counts := b.Counts()
@@ -177,7 +182,7 @@
 	c.request.Arrived()
 	is.NoErr(c.send(0)) // pipelined behind it
 	now.advance(time.Minute)
-	_, err := p.Open(func() {})
+	_, err := p.Open(func() {}, noBytes)
 	is.True(err != nil)
 	is.True(!c.closed)
 }
@@ -192,7 +197,7 @@
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			switch rapid.IntRange(0, 6).Draw(t, "step") {
 			case 0:
-				if c, err := ports[rapid.IntRange(0, 1).Draw(t, "port")].Open(func() {}); err == nil {
+				if c, err := ports[rapid.IntRange(0, 1).Draw(t, "port")].Open(func() {}, noBytes); err == nil {
 					conns = append(conns, c)
 				}
 			case 1:
@@ -281,7 +286,7 @@
 func TestNoBudgetBoundsNothing(t *testing.T) {
 	is := is.New(t)
 	var b *Budget
-	c, err := b.NewPort(1).Open(func() {})
+	c, err := b.NewPort(1).Open(func() {}, noBytes)
 	is.NoErr(err)
 	r, err := c.Begin(func() {})
 	is.NoErr(err)
@@ -306,3 +311,55 @@
 		}
 	}
 }
+
+// Guards against closing all that is idle for a request that is too large all the same.
+func TestNothingIsClosedInVain(t *testing.T) {
+	is := is.New(t)
+	b, now := newBudget(10 * each)
+	p := b.NewPort(10)
+	idle, slow, asking := connect(t, p), connect(t, p), connect(t, p)
+	is.NoErr(slow.send(1000))
+	now.advance(time.Second)
+	is.NoErr(asking.send(0))
+	is.True(IsExhausted(asking.request.Charge(10 * each)))
+	is.True(!idle.closed && !slow.givenUp)
+	is.NoErr(asking.request.Charge(7 * each))
+}
+
+// Guards against closing a connection whose next request has arrived and was not read yet (LOST).
+func TestConnectionWithUnreadBytesIsNotIdle(t *testing.T) {
+	is := is.New(t)
+	b, _ := newBudget(1 << 30)
+	p := b.NewPort(2)
+	first, second := connect(t, p), connect(t, p)
+	first.unread = true
+	connect(t, p)
+	is.True(!first.closed && second.closed)
+}
+
+// Guards against connections whose unread bytes are not seen while a read of them waits.
+func TestUnreadBytesOfAConnection(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	sender, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer sender.Close()
+	accepted, err := listener.Accept()
+	is.NoErr(err)
+	defer accepted.Close()
+	is.True(!hasUnread(accepted))
+	_, err = sender.Write([]byte("x"))
+	is.NoErr(err)
+	for began := time.Now(); !hasUnread(accepted); time.Sleep(time.Millisecond) {
+		is.True(time.Since(began) < 5*time.Second)
+	}
+	var read sync.WaitGroup
+	read.Go(func() { _, _ = io.ReadFull(accepted, make([]byte, 2)) })
+	for began := time.Now(); hasUnread(accepted); time.Sleep(time.Millisecond) {
+		is.True(time.Since(began) < 5*time.Second)
+	}
+	sender.Close()
+	read.Wait()
+}
--- a/lib/bfresource/listener.go
+++ b/lib/bfresource/listener.go
@@ -24,7 +24,7 @@
 		if err != nil {
 			return nil, err
 		}
-		held, err := l.port.Open(func() { c.Close() })
+		held, err := l.port.Accept(c)
 		if err == nil {
 			return &Accepted{Conn: c, held: held}, nil
 		}
--- a/lib/bfresource/port.go
+++ b/lib/bfresource/port.go
@@ -3,6 +3,8 @@
 import (
 	"container/list"
 	"fmt"
+	"net"
+	"syscall"
 
 	"bilberryflow.org/lib/bfpace"
 )
@@ -41,6 +43,8 @@
 	port *Port
 	// close closes the connection; it doesn't block.
 	close func()
+	// hasUnread reports whether bytes have arrived that were not read yet.
+	hasUnread func() bool
 
 	// The budget guards what follows.
 	requests int
@@ -51,15 +55,41 @@
 	closed  bool
 }
 
-// Open adds an accepted connection, which close closes without blocking. Others are closed in its favour if the
+// Accept adds an accepted connection. Others are closed in its favour as Open says.
+func (p *Port) Accept(c net.Conn) (*Conn, error) {
+	return p.Open(func() { c.Close() }, func() bool { return hasUnread(c) })
+}
+
+// hasUnread reports whether the system holds bytes of a connection that were not read yet, or its end.
+func hasUnread(c net.Conn) bool {
+	source, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	// Control doesn't wait for a read in progress, as Read would.
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, _ := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		unread = n > 0
+	})
+	return err == nil && unread
+}
+
+// Open adds an accepted connection, which close closes without blocking. hasUnread reports whether bytes of it have
+// arrived that were not read yet. Others are closed in its favour if the
 // port or the memory is full: idle ones first, then those whose request arrives slowly. It fails with a
 // *FullError or an *ExhaustedError if there are none.
-func (p *Port) Open(close func()) (*Conn, error) {
+func (p *Port) Open(close func(), hasUnread func() bool) (*Conn, error) {
 	if p == nil {
 		return nil, nil
 	}
 	b := p.budget
-	c := &Conn{port: p, close: close}
+	c := &Conn{port: p, close: close, hasUnread: hasUnread}
 	b.mu.Lock()
 	ended, err := b.add(c)
 	b.mu.Unlock()
--- a/lib/bfresource/reclaim.go
+++ b/lib/bfresource/reclaim.go
@@ -64,31 +64,61 @@
 	return list
 }
 
-// reclaim frees at least need bytes, as far as it can, for a request, nil for a connection: from requests that
-// arrive too slowly, then from the others that are still arriving, each the greatest weight first, then from idle
-// connections, longest idle first. Requests that burden less than the asking one are left alone.
+// reclaim frees at least need bytes for a request, nil for a connection: from requests that arrive too slowly, then
+// from the others that are still arriving, each the greatest weight first, then from idle connections, longest idle
+// first. Requests that burden less than the asking one are left alone. If that is not enough it frees nothing.
 func (b *Budget) reclaim(asking *Request, need int64) victims {
+	requests := b.reclaimable(asking)
+	if need > b.sum(requests) {
+		return nil
+	}
 	need = max(need, b.memory/reclaimShare)
+	var ended victims
+	for _, r := range requests {
+		if need <= 0 {
+			break
+		}
+		need -= r.held
+		ended = append(ended, b.giveUp(r))
+	}
+	for _, p := range b.ports {
+		for need > 0 {
+			c := p.longestIdle()
+			if c == nil {
+				break
+			}
+			need -= c.held
+			ended = append(ended, b.closeIdle(c))
+		}
+	}
+	return ended
+}
+
+// reclaimable returns the requests that may be given up for one that asks, nil for a connection.
+func (b *Budget) reclaimable(asking *Request) (requests []*Request) {
 	now := b.now()
 	var own burden
 	if asking != nil {
 		own, _ = asking.burdenOf(now)
 	}
-	var ended victims
 	for _, of := range b.burdens(now) {
-		if need <= 0 || asking != nil && of.compare(own) >= 0 {
+		if asking != nil && of.compare(own) >= 0 {
 			break
 		}
-		need -= of.request.held
-		ended = append(ended, b.giveUp(of.request))
+		requests = append(requests, of.request)
+	}
+	return requests
+}
+
+// sum returns what requests and all idle connections hold.
+func (b *Budget) sum(requests []*Request) (bytes int64) {
+	for _, r := range requests {
+		bytes += r.held
 	}
 	for _, p := range b.ports {
-		for need > 0 && p.idle.Len() > 0 {
-			need -= connectionBytes
-			ended = append(ended, b.closeIdle(p))
-		}
+		bytes += int64(p.idle.Len()) * connectionBytes
 	}
-	return ended
+	return bytes
 }
 
 // giveUp takes what an arriving request holds.
@@ -105,9 +135,27 @@
 	}
 }
 
-// closeIdle closes the longest idle connection of a port.
-func (b *Budget) closeIdle(p *Port) victim {
-	c := p.idle.Front().Value.(*Conn)
+// maxIdleSearch bounds the connections that are looked at for one without bytes.
+const maxIdleSearch = 16
+
+// longestIdle returns the connection that has been idle for the longest time of those without unread bytes, which may
+// be a request; nil if there is none.
+func (p *Port) longestIdle() *Conn {
+	element := p.idle.Front()
+	for range maxIdleSearch {
+		if element == nil {
+			return nil
+		}
+		if c := element.Value.(*Conn); !c.hasUnread() {
+			return c
+		}
+		element = element.Next()
+	}
+	return nil
+}
+
+// closeIdle closes an idle connection.
+func (b *Budget) closeIdle(c *Conn) victim {
 	b.counts.IdleClosed++
 	c.remove()
 	return c.close
@@ -124,8 +172,8 @@
 // makeRoom closes connections of a full port: the longest idle one, or else some of those that have only one request,
 // which arrives too slowly.
 func (b *Budget) makeRoom(p *Port) victims {
-	if p.idle.Len() > 0 {
-		return victims{b.closeIdle(p)}
+	if c := p.longestIdle(); c != nil {
+		return victims{b.closeIdle(c)}
 	}
 	room := max(p.limit/reclaimShare, 1)
 	var ended victims
--- a/lib/bfserver/bound.go
+++ b/lib/bfserver/bound.go
@@ -30,7 +30,7 @@
 			return nil, err
 		}
 		c := &boundConn{Conn: accepted}
-		c.held, err = l.port.Open(func() { accepted.Close() })
+		c.held, err = l.port.Accept(accepted)
 		if err == nil {
 			return c, nil
 		}
