A client is not slow while its bytes are unread

On a node short of processor time, a request whose bytes waited in the kernel counted as one that arrives too slowly, and a full port could close it. Its socket is asked first, as that of an idle connection. TestConnectionWithUnreadBytesIsNotSlow failed before.

--- a/lib/bfresource/budget_test.go
+++ b/lib/bfresource/budget_test.go
@@ -363,3 +363,19 @@
 	sender.Close()
 	read.Wait()
 }
+
+// Guards against closing a connection for the slowness of the node itself.
+func TestConnectionWithUnreadBytesIsNotSlow(t *testing.T) {
+	is := is.New(t)
+	b, now := newBudget(1 << 30)
+	p := b.NewPort(1)
+	c := connect(t, p)
+	is.NoErr(c.send(0))
+	c.unread = true
+	now.advance(time.Minute)
+	_, err := p.Open(func() {}, noBytes)
+	is.True(err != nil && !c.closed)
+	c.unread = false
+	connect(t, p)
+	is.True(c.closed)
+}
--- a/lib/bfresource/reclaim.go
+++ b/lib/bfresource/reclaim.go
@@ -170,7 +170,7 @@
 }
 
 // makeRoom closes connections of a full port: the longest idle one, or else some of those that have only one request,
-// which arrives too slowly.
+// which arrives too slowly. Bytes that are there and unread show that the node is slow and not the client.
 func (b *Budget) makeRoom(p *Port) victims {
 	if c := p.longestIdle(); c != nil {
 		return victims{b.closeIdle(c)}
@@ -182,7 +182,7 @@
 			break
 		}
 		c := of.request.conn
-		if c.port == p && c.requests == 1 {
+		if c.port == p && c.requests == 1 && !c.hasUnread() {
 			b.giveUp(of.request)
 			b.counts.SlowClosed++
 			c.remove()
