--- a/lib/bfpeer/frame.go
+++ b/lib/bfpeer/frame.go
@@ -71,7 +71,7 @@
 func (f *framer) Reader(r io.Reader) jsonrpc2.Reader {
 	reader := &frameReader{framer: f, in: bufio.NewReader(r)}
 	if s, ok := r.(*stream); ok {
-		reader.held, reader.giveUp = s.held(), func() { s.Conn.Close() }
+		reader.held, reader.evict = s.held(), func() { s.Conn.Close() }
 	}
 	return reader
 }
@@ -82,9 +82,9 @@
 type frameReader struct {
 	framer *framer
 	in     *bufio.Reader
-	// held is what the process holds for the connection, nil for one that it has opened. giveUp closes it.
-	held   *bfresource.Conn
-	giveUp func()
+	// held is what the process holds for the connection, nil for one that it has opened. evict closes it.
+	held  *bfresource.Conn
+	evict func()
 	// message is what the process holds for the last message.
 	message *bfresource.Request
 }
@@ -99,7 +99,7 @@
 		return nil, 0, err
 	}
 	var err error
-	if r.message, err = r.held.Begin(r.giveUp); err != nil {
+	if r.message, err = r.held.Begin(r.evict); err != nil {
 		return nil, 0, r.failed(err)
 	}
 	message, total, err := r.read()
--- a/lib/bfpipeline/connection.go
+++ b/lib/bfpipeline/connection.go
@@ -164,7 +164,7 @@
 
 // read reads a request. A malformed one is replaced by one that is answered with an error.
 func (c *connection) read() (*exchange, error) {
-	held, exhausted := c.held.Begin(c.giveUpArrival)
+	held, exhausted := c.held.Begin(c.evictArrival)
 	e, err := c.readHeld(held, exhausted)
 	if err != nil {
 		held.End()
@@ -174,8 +174,8 @@
 	return e, nil
 }
 
-// giveUpArrival ends the read of the request that arrives. Reads fail from now on until it is answered.
-func (c *connection) giveUpArrival() {
+// evictArrival ends the read of the request that arrives. Reads fail from now on until it is answered.
+func (c *connection) evictArrival() {
 	// An error means that the connection is broken, which ends the read as well.
 	_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 }
--- a/lib/bfpipeline/limited.go
+++ b/lib/bfpipeline/limited.go
@@ -48,7 +48,7 @@
 	if r.limited {
 		p = p[:min(len(p), r.remaining)]
 	}
-	if err := r.givenUp(); err != nil {
+	if err := r.evicted(); err != nil {
 		return 0, err
 	}
 	r.held.BeginRead()
@@ -60,15 +60,15 @@
 			return n, exhausted
 		}
 	}
-	if givenUp := r.givenUp(); err != nil && givenUp != nil {
-		err = givenUp
+	if evicted := r.evicted(); err != nil && evicted != nil {
+		err = evicted
 	}
 	return n, err
 }
 
-// givenUp returns the error of a request that others got the memory of.
-func (r *limitedReader) givenUp() error {
-	if err := r.held.GivenUp(); err != nil {
+// evicted returns the error of a request that others got the memory of.
+func (r *limitedReader) evicted() error {
+	if err := r.held.Evicted(); err != nil {
 		r.exhausted = err
 	}
 	return r.exhausted
--- a/lib/bfpipeline/resource_test.go
+++ b/lib/bfpipeline/resource_test.go
@@ -86,8 +86,8 @@
 }
 
 // Guards against a body that stops short of its end and keeps its memory from requests that arrive, and against
-// the loss of the earlier requests of a connection whose last one is given up.
-func TestSlowBodyIsGivenUpForOthers(t *testing.T) {
+// the loss of the earlier requests of a connection whose last one is evicted.
+func TestSlowBodyIsEvictedForOthers(t *testing.T) {
 	p, budget, runs := serveBound(t, 1, 10)
 	const size = 120_000
 	post := fmt.Sprintf("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size)
@@ -104,7 +104,7 @@
 	_, head = slow.answer()
 	p.Equal(head, answerHead{http.StatusServiceUnavailable, true})
 	p.Equal(runs.Load(), int32(2))
-	p.Equal(budget.Counts().RequestsGivenUp, int64(1))
+	p.Equal(budget.Counts().RequestsEvicted, int64(1))
 	slow.conn.Close()
 	awaitHeld(t, budget)
 }
--- a/lib/bfresource/budget.go
+++ b/lib/bfresource/budget.go
@@ -24,19 +24,19 @@
 // HeadCost returns what the head of a request takes while the request is in progress, in bytes.
 func HeadCost(bytes, lines int) int64 { return 2*int64(bytes) + lineBytes*int64(lines) }
 
-// ExhaustedError reports a request for which too little memory is left, or which was given up in favour of others.
+// ExhaustedError reports a request for which too little memory is left, or which was evicted in favour of others.
 // It has not run.
 type ExhaustedError struct {
-	// GivenUp is set if others got the memory of the request.
-	GivenUp bool
+	// Evicted is set if others got the memory of the request.
+	Evicted bool
 	// Bytes is what the request asked for.
 	Bytes int64
 }
 
 // Error includes what the request asked for.
 func (e *ExhaustedError) Error() string {
-	if e.GivenUp {
-		return "request given up: it arrived too slowly for the memory that it held"
+	if e.Evicted {
+		return "request evicted: it arrived too slowly for the memory that it held"
 	}
 	return fmt.Sprintf("too little memory for clients: %d bytes asked for", e.Bytes)
 }
@@ -47,7 +47,7 @@
 	return errors.As(err, &exhausted)
 }
 
-// RetryAfter is when a request that got no memory may be sent again: what arrives slowly is given up by then.
+// RetryAfter is when a request that got no memory may be sent again: what arrives slowly is evicted by then.
 const RetryAfter = 2 * slowAfter
 
 // Budget is what a process holds for its clients. It is safe for concurrent use; nil bounds nothing.
@@ -73,8 +73,8 @@
 	// IdleClosed and SlowClosed are connections closed in favour of others, Refused those that were not
 	// accepted.
 	IdleClosed, SlowClosed, Refused int64
-	// RequestsGivenUp and RequestsRefused are requests that lost their memory or got none.
-	RequestsGivenUp, RequestsRefused int64
+	// RequestsEvicted and RequestsRefused are requests that lost their memory or got none.
+	RequestsEvicted, RequestsRefused int64
 }
 
 // New returns the budget of a process, nil for limits that are zero.
@@ -103,11 +103,11 @@
 // Request is what the process holds for one request; nil bounds nothing.
 type Request struct {
 	conn *Conn
-	// giveUp ends the arrival of the request.
-	giveUp func()
+	// evict ends the arrival of the request.
+	evict func()
 
-	// givenUp is set once others got its memory.
-	givenUp atomic.Bool
+	// evicted is set once others got its memory.
+	evicted atomic.Bool
 
 	// The budget guards what follows.
 	held  int64
@@ -135,8 +135,8 @@
 
 // charge is Charge; the caller ends the victims without holding mu.
 func (b *Budget) charge(r *Request, bytes int64) (victims, error) {
-	if r.givenUp.Load() {
-		return nil, &ExhaustedError{GivenUp: true, Bytes: bytes}
+	if r.evicted.Load() {
+		return nil, &ExhaustedError{Evicted: true, Bytes: bytes}
 	}
 	var ended victims
 	if b.held+bytes > b.memory {
@@ -198,12 +198,12 @@
 	delete(b.arriving, r)
 }
 
-// GivenUp returns an *ExhaustedError once others got the memory of the request, else nil.
-func (r *Request) GivenUp() error {
-	if r == nil || !r.givenUp.Load() {
+// Evicted returns an *ExhaustedError once others got the memory of the request, else nil.
+func (r *Request) Evicted() error {
+	if r == nil || !r.evicted.Load() {
 		return nil
 	}
-	return &ExhaustedError{GivenUp: true}
+	return &ExhaustedError{Evicted: true}
 }
 
 // End releases what the request holds; further calls do nothing.
--- a/lib/bfresource/budget_test.go
+++ b/lib/bfresource/budget_test.go
@@ -30,7 +30,7 @@
 type client struct {
 	conn            *Conn
 	request         *Request
-	closed, givenUp bool
+	closed, evicted bool
 	unread          bool
 }
 
@@ -50,7 +50,7 @@
 // send begins a request that takes bytes beside what each request takes.
 func (c *client) send(bytes int64) error {
 	var err error
-	if c.request, err = c.conn.Begin(func() { c.givenUp = true }); err != nil {
+	if c.request, err = c.conn.Begin(func() { c.evicted = true }); err != nil {
 		return err
 	}
 	err = c.request.Charge(bytes)
@@ -60,9 +60,9 @@
 
 const each = connectionBytes + requestBytes
 
-// Guards against requests that arrive at their pace, or wait for the node itself, and are given up before ones that
+// Guards against requests that arrive at their pace, or wait for the node itself, and are evicted before ones that
 // have stopped.
-func TestSlowRequestsAreGivenUpBeforeLargeOnes(t *testing.T) {
+func TestSlowRequestsAreEvictedBeforeLargeOnes(t *testing.T) {
 	is := is.New(t)
 	b, now := newBudget(4*each + 60_000)
 	p := b.NewPort(10)
@@ -78,14 +78,14 @@
 	}
 	ordinary := connect(t, p)
 	is.NoErr(ordinary.send(30_000))
-	is.True(stopped.givenUp && !fast.givenUp && !waiting.givenUp)
+	is.True(stopped.evicted && !fast.evicted && !waiting.evicted)
 	connect(t, p)
-	is.True(fast.givenUp && !waiting.givenUp) // the greatest of those that are not slow
+	is.True(fast.evicted && !waiting.evicted) // the greatest of those that are not slow
 }
 
-// Guards against small requests that are given up for the memory that a large one holds, and against giving
-// up the one that came first instead of the one that burdens most.
-func TestGreatestBurdenIsGivenUpFirst(t *testing.T) {
+// Guards against small requests that are evicted for the memory that a large one holds, and against evicting
+// the one that came first instead of the one that burdens most.
+func TestGreatestBurdenIsEvictedFirst(t *testing.T) {
 	is := is.New(t)
 	b, now := newBudget(4*each + 40_000)
 	p := b.NewPort(10)
@@ -96,9 +96,9 @@
 	is.NoErr(fresh.send(1000))
 	ordinary := connect(t, p)
 	is.NoErr(ordinary.send(9000))
-	is.True(large.givenUp)
-	is.True(!small.givenUp && !fresh.givenUp)
-	is.True(IsExhausted(large.request.GivenUp()))
+	is.True(large.evicted)
+	is.True(!small.evicted && !fresh.evicted)
+	is.True(IsExhausted(large.request.Evicted()))
 	is.True(IsExhausted(large.request.Charge(1)))
 }
 
@@ -113,14 +113,14 @@
 	complete.request.Arrived()
 	now.advance(time.Minute)
 	is.True(IsExhausted(next.send(1000)))
-	is.True(!complete.givenUp)
+	is.True(!complete.evicted)
 	is.Equal(b.Counts().RequestsRefused, int64(1))
 	complete.request.End()
 	next.request.End()
 	is.NoErr(next.send(1000))
 }
 
-// Guards against a request that has others given up although it is the greatest burden itself.
+// Guards against a request that has others evicted although it is the greatest burden itself.
 func TestGreatestBurdenIsRefusedItself(t *testing.T) {
 	is := is.New(t)
 	b, now := newBudget(2*each + 30_000)
@@ -130,7 +130,7 @@
 	is.NoErr(large.send(20_000))
 	now.advance(time.Second)
 	is.True(IsExhausted(large.request.Charge(20_000)))
-	is.True(!small.givenUp)
+	is.True(!small.evicted)
 }
 
 // Guards against requests that are refused while connections without a request hold memory, and against
@@ -144,7 +144,7 @@
 	now.advance(slowAfter)
 	ordinary := connect(t, p)
 	is.NoErr(ordinary.send(requestBytes))
-	is.True(slow.givenUp)
+	is.True(slow.evicted)
 	is.True(!idle.closed)
 	is.NoErr(ordinary.request.Charge(connectionBytes))
 	is.True(idle.closed)
@@ -291,7 +291,7 @@
 	r, err := c.Begin(func() {})
 	is.NoErr(err)
 	is.NoErr(r.Charge(1 << 40))
-	is.NoErr(r.GivenUp())
+	is.NoErr(r.Evicted())
 	r.Hold(1)
 	r.Arrived()
 	r.End()
@@ -322,7 +322,7 @@
 	now.advance(time.Second)
 	is.NoErr(asking.send(0))
 	is.True(IsExhausted(asking.request.Charge(10 * each)))
-	is.True(!idle.closed && !slow.givenUp)
+	is.True(!idle.closed && !slow.evicted)
 	is.NoErr(asking.request.Charge(7 * each))
 }
 
--- a/lib/bfresource/doc.go
+++ b/lib/bfresource/doc.go
@@ -2,6 +2,6 @@
 // parsed heads, the kept parts of bodies, and buffers.
 //
 // All of it is charged to one Budget, which is a share of the machine. When the budget is used up, requests
-// that arrive too slowly are given up first, then others that are still arriving, then idle connections are
+// that arrive too slowly are evicted first, then others that are still arriving, then idle connections are
 // closed, and then new requests are refused. Complete requests keep what they have.
 package bfresource
--- a/lib/bfresource/port.go
+++ b/lib/bfresource/port.go
@@ -142,14 +142,14 @@
 	}
 }
 
-// Begin adds a request whose first byte has arrived. giveUp ends its arrival without blocking. If there is no
+// Begin adds a request whose first byte has arrived. evict ends its arrival without blocking. If there is no
 // memory for the request, it holds none, and the error is an *ExhaustedError.
-func (c *Conn) Begin(giveUp func()) (*Request, error) {
+func (c *Conn) Begin(evict func()) (*Request, error) {
 	if c == nil {
 		return nil, nil
 	}
 	b := c.port.budget
-	r := &Request{conn: c, giveUp: giveUp}
+	r := &Request{conn: c, evict: evict}
 	b.mu.Lock()
 	r.began = b.now()
 	r.pace, r.readAt = bfpace.New(r.began, b.pace), r.began
--- a/lib/bfresource/reclaim.go
+++ b/lib/bfresource/reclaim.go
@@ -13,7 +13,7 @@
 // reclaimShare is the least share that is freed at once, so that the search for it is rare.
 const reclaimShare = 32
 
-// victim is a connection to close, or a request to give up.
+// victim is a connection to close, or a request to evict.
 type victim func()
 
 // victims are ended without holding the budget's lock.
@@ -41,7 +41,7 @@
 	return b, age >= slowAfter
 }
 
-// compare orders burdens, the one that is given up first before the others.
+// compare orders burdens, the one that is evicted first before the others.
 func (b burden) compare(other burden) int {
 	switch {
 	case b.late != other.late && b.late:
@@ -52,7 +52,7 @@
 	return cmp.Compare(other.weight, b.weight)
 }
 
-// burdens returns the requests that others may get the memory of, the one that is given up first before the others.
+// burdens returns the requests that others may get the memory of, the one that is evicted first before the others.
 func (b *Budget) burdens(now time.Time) []burden {
 	var list []burden
 	for r := range b.arriving {
@@ -79,7 +79,7 @@
 			break
 		}
 		need -= r.held
-		ended = append(ended, b.giveUp(r))
+		ended = append(ended, b.evict(r))
 	}
 	for _, p := range b.ports {
 		for need > 0 {
@@ -94,7 +94,7 @@
 	return ended
 }
 
-// reclaimable returns the requests that may be given up for one that asks, nil for a connection.
+// reclaimable returns the requests that may be evicted for one that asks, nil for a connection.
 func (b *Budget) reclaimable(asking *Request) (requests []*Request) {
 	now := b.now()
 	var own burden
@@ -121,16 +121,16 @@
 	return bytes
 }
 
-// giveUp takes what an arriving request holds.
-func (b *Budget) giveUp(r *Request) victim {
-	b.counts.RequestsGivenUp++
+// evict takes what an arriving request holds.
+func (b *Budget) evict(r *Request) victim {
+	b.counts.RequestsEvicted++
 	delete(b.arriving, r)
-	r.givenUp.Store(true)
+	r.evicted.Store(true)
 	b.held -= r.held
 	r.held = 0
 	return func() {
 		if !r.hasEnded() {
-			r.giveUp()
+			r.evict()
 		}
 	}
 }
@@ -183,7 +183,7 @@
 		}
 		c := of.request.conn
 		if c.port == p && c.requests == 1 && !c.hasUnread() {
-			b.giveUp(of.request)
+			b.evict(of.request)
 			b.counts.SlowClosed++
 			c.remove()
 			ended = append(ended, c.close)
--- a/lib/bfresource/report.go
+++ b/lib/bfresource/report.go
@@ -21,7 +21,7 @@
 		"client_idle_closed":        func(c Counts) int64 { return c.IdleClosed },
 		"client_slow_closed":        func(c Counts) int64 { return c.SlowClosed },
 		"client_refused":            func(c Counts) int64 { return c.Refused },
-		"client_requests_given_up":  func(c Counts) int64 { return c.RequestsGivenUp },
+		"client_requests_evicted":   func(c Counts) int64 { return c.RequestsEvicted },
 		"client_requests_refused":   func(c Counts) int64 { return c.RequestsRefused },
 	} {
 		metrics.Gauge(name, func() int64 { return value(b.Counts()) })
@@ -46,7 +46,7 @@
 		}
 		logger.Emit(bflog.ClientsRefused,
 			slog.Int64("idle_closed", recent.IdleClosed), slog.Int64("slow_closed", recent.SlowClosed), slog.Int64("connections_refused", recent.Refused),
-			slog.Int64("requests_given_up", recent.RequestsGivenUp), slog.Int64("requests_refused", recent.RequestsRefused),
+			slog.Int64("requests_evicted", recent.RequestsEvicted), slog.Int64("requests_refused", recent.RequestsRefused),
 			slog.Int64("connections", counts.Connections), slog.Int64("memory", counts.Memory), slog.Int64("memory_limit", counts.MemoryLimit))
 	})
 }
@@ -55,10 +55,10 @@
 func (c Counts) since(earlier Counts) Counts {
 	return Counts{
 		IdleClosed: c.IdleClosed - earlier.IdleClosed, SlowClosed: c.SlowClosed - earlier.SlowClosed, Refused: c.Refused - earlier.Refused,
-		RequestsGivenUp: c.RequestsGivenUp - earlier.RequestsGivenUp, RequestsRefused: c.RequestsRefused - earlier.RequestsRefused,
+		RequestsEvicted: c.RequestsEvicted - earlier.RequestsEvicted, RequestsRefused: c.RequestsRefused - earlier.RequestsRefused,
 	}
 }
 
 func (c Counts) sum() int64 {
-	return c.IdleClosed + c.SlowClosed + c.Refused + c.RequestsGivenUp + c.RequestsRefused
+	return c.IdleClosed + c.SlowClosed + c.Refused + c.RequestsEvicted + c.RequestsRefused
 }
--- a/lib/bfserver/bound.go
+++ b/lib/bfserver/bound.go
@@ -59,7 +59,7 @@
 // Read reads bytes. It fails as a broken connection does once a head gets no memory: the server then closes the
 // connection, and the request has not run.
 func (c *boundConn) Read(p []byte) (int, error) {
-	if err := c.givenUp(); err != nil {
+	if err := c.evicted(); err != nil {
 		return 0, c.readError(err)
 	}
 	head := c.awaitedHead()
@@ -72,8 +72,8 @@
 		}
 	}
 	if err != nil {
-		if givenUp := c.givenUp(); givenUp != nil {
-			err = c.readError(givenUp)
+		if evicted := c.evicted(); evicted != nil {
+			err = c.readError(evicted)
 		}
 	}
 	return n, err
@@ -83,11 +83,11 @@
 	return &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: err}
 }
 
-// givenUp returns the error of a request that others got the memory of.
-func (c *boundConn) givenUp() error {
+// evicted returns the error of a request that others got the memory of.
+func (c *boundConn) evicted() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.request.GivenUp()
+	return c.request.Evicted()
 }
 
 // awaitedHead returns the request of which the head is read, nil for none.
@@ -111,7 +111,7 @@
 		return nil
 	}
 	if c.request == nil {
-		request, err := c.held.Begin(c.giveUp)
+		request, err := c.held.Begin(c.evict)
 		c.request, c.charged = request, 0
 		if err != nil {
 			return err
@@ -122,8 +122,8 @@
 	return c.request.Charge(cost)
 }
 
-// giveUp ends the arrival of the connection's request.
-func (c *boundConn) giveUp() { _ = c.SetReadDeadline(time.Unix(1, 0)) }
+// evict ends the arrival of the connection's request.
+func (c *boundConn) evict() { _ = c.SetReadDeadline(time.Unix(1, 0)) }
 
 // await begins to await the next head.
 func (c *boundConn) await() {
@@ -152,7 +152,7 @@
 	if c.request == nil {
 		// The head arrived with the request before it.
 		c.charged = 0
-		c.request, err = c.held.Begin(c.giveUp)
+		c.request, err = c.held.Begin(c.evict)
 	}
 	return c.request, c.charged, err
 }
@@ -272,7 +272,7 @@
 
 // Read reads the body. It fails with a *bfresource.ExhaustedError once others got the memory of the request.
 func (b *boundBody) Read(p []byte) (int, error) {
-	if err := b.request.GivenUp(); err != nil {
+	if err := b.request.Evicted(); err != nil {
 		return 0, err
 	}
 	b.request.BeginRead()
@@ -281,8 +281,8 @@
 	if err == nil {
 		return n, nil
 	}
-	if givenUp := b.request.GivenUp(); givenUp != nil && !errors.Is(err, io.EOF) {
-		return n, givenUp
+	if evicted := b.request.Evicted(); evicted != nil && !errors.Is(err, io.EOF) {
+		return n, evicted
 	}
 	b.request.Arrived()
 	return n, err
--- a/lib/bfserver/bound_test.go
+++ b/lib/bfserver/bound_test.go
@@ -87,7 +87,7 @@
 }
 
 // Guards against a body between nodes that stops short of its end and keeps its memory.
-func TestSlowBodyBetweenNodesIsGivenUp(t *testing.T) {
+func TestSlowBodyBetweenNodesIsEvicted(t *testing.T) {
 	is := is.New(t)
 	port, budget, runs := listenBound(t, 1)
 	const size = 120_000
@@ -104,6 +104,6 @@
 	answer, err := io.ReadAll(slow)
 	is.True(err != nil || strings.HasPrefix(string(answer), "HTTP/1.1 418"))
 	is.Equal(runs.Load(), int32(1))
-	is.Equal(budget.Counts().RequestsGivenUp, int64(1))
+	is.Equal(budget.Counts().RequestsEvicted, int64(1))
 	awaitNothingHeld(t, budget)
 }
