--- a/lib/bfentry/disconnect_test.go
+++ b/lib/bfentry/disconnect_test.go
@@ -60,10 +60,18 @@
 				send(stays, "beside")
 			}
 			m.await(func() bool { return m.runs() == slots })
+			used := func() int {
+				used, _ := m.nodes[0].host.Load()
+				return used
+			}
 			send(leaves, "waiting")
-			time.Sleep(50 * time.Millisecond)
+			m.await(func() bool { return used() == slots+1 })
 			leave()
-			time.Sleep(100 * time.Millisecond)
+			left := slots
+			if !c.finishes {
+				left--
+			}
+			m.await(func() bool { return used() == left })
 			close(release)
 			m.NoErr(group.Wait())
 			m.awaitIdle()
